--- a/src/bin/crowflow-drill.rs
+++ b/src/bin/spanspur-benchlink.rs
@@ -4,10 +4,10 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match crowflow::wire::serve(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
+    match spanspur::wire::serve(io::stdin().lock(), BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("crowflow-drill: {what}");
+            eprintln!("spanspur-benchlink: {what}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,12 @@
-//! crowflow decides where long-lived connections go: one weighted rendezvous ranking per key, with
+//! spanspur decides where long-lived connections go: one weighted rendezvous ranking per key, with
 //! small, named departures for cold, full and failing servers.
 //!
 //! The library is sans-I/O. A node feeds [`Event`](api::Event)s into a [`Balancer`] and carries out the
 //! [`Action`](api::Action)s that come back; the clock is whatever the node passes in.
 //!
 //! ```
-//! use crowflow::Balancer;
-//! use crowflow::api::*;
+//! use spanspur::Balancer;
+//! use spanspur::api::*;
 //! use std::sync::Arc;
 //!
 //! let config = Config { classes: vec![Class { aim: 0.3, ..Class::default() }], ..Config::default() };
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The balancer on real sockets.
+
+fn main() {}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A node in virtual time around one balancer.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
-use crowflow::Balancer;
-use crowflow::api::*;
+use spanspur::Balancer;
+use spanspur::api::*;
 
 pub struct Node {
     pub balancer: Balancer,
--- a/tests/hostile.rs
+++ b/tests/hostile.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::*;
-use crowflow::api::*;
+use spanspur::api::*;
 use std::collections::BTreeMap;
 
 const SERVERS: u64 = 12;
--- a/tests/life.rs
+++ b/tests/life.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowflow::api::*;
+use spanspur::api::*;
 
 fn with(effect: Effect) -> Config {
     Config {
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowflow::api::*;
+use spanspur::api::*;
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicUsize, Ordering};
 
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use crowflow::api::*;
-use crowflow::score;
+use spanspur::api::*;
+use spanspur::score;
 
 /// Key, server, weight, score.
 const GOLDEN: [(u64, u64, f64, f64); 5] = [
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowflow::api::*;
+use spanspur::api::*;
 use std::collections::BTreeMap;
 
 fn fleet(count: u64) -> Vec<Member> {
@@ -81,7 +81,7 @@
 
 /// Whether this is the key's best server of a fleet.
 fn prefers(key: Key, servers: u64, id: ServerId) -> bool {
-    let score = |id: ServerId| crowflow::score(key, id, 1.0);
+    let score = |id: ServerId| spanspur::score(key, id, 1.0);
     fleet(servers)
         .iter()
         .all(|m| m.id == id || score(m.id) < score(id))
