--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,8 @@
 
 pub mod api;
 mod choice;
+pub mod config;
+pub mod list;
 pub mod wire;
 
 pub use choice::{Balancer, score};
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,100 @@
 //! The balancer on real sockets.
+#![forbid(unsafe_code)]
 
-fn main() {}
+mod net;
+
+use net::host::{Host, duration};
+use net::{check, director, drain, req};
+use spanspur::api::ListKind;
+use spanspur::config::Node;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Connections that wait to be accepted: a crowd may come at once.
+const BACKLOG: u32 = 1024;
+/// Pause after accepting failed: descriptors that ran out come back when connections end.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let served = Node::from_env().and_then(|node| {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+        LocalSet::new().block_on(&runtime, run(node))
+    });
+    check::log_all();
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            log::error!("{what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(mut node: Node) -> Result<(), String> {
+    let listener = listen(&node).map_err(|e| format!("key 'listen': {}: {e}", node.listen))?;
+    log::info!(
+        "{} listens on {}, {} servers known",
+        node.name,
+        node.listen,
+        node.known.members.len()
+    );
+    let (known, discovery, wait) = (
+        std::mem::take(&mut node.known),
+        node.discovery,
+        duration(node.longest_wait),
+    );
+    let host = Rc::new(Host::new(node));
+    let revision = known.revision;
+    host.list(ListKind::Cached, known);
+    spawn_local(director::run(host.clone(), discovery, revision));
+    spawn_local(accept(host.clone(), listener));
+    drain::run(host, wait)
+        .await
+        .map_err(|e| format!("no signals: {e}"))
+}
+
+fn listen(node: &Node) -> std::io::Result<TcpListener> {
+    let socket = if node.listen.is_ipv4() {
+        TcpSocket::new_v4()
+    } else {
+        TcpSocket::new_v6()
+    }?;
+    // A restart under the same address must not wait for old connections to time out.
+    socket.set_reuseaddr(true)?;
+    socket.bind(node.listen)?;
+    socket.listen(BACKLOG)
+}
+
+async fn accept(host: Rc<Host>, listener: TcpListener) {
+    let clients = Rc::new(());
+    loop {
+        match listener.accept().await {
+            Ok((client, _)) => {
+                // More than the descriptors allow are turned away, so that those here keep theirs.
+                let full = Rc::strong_count(&clients) > host.room;
+                let (host, here) = (host.clone(), clients.clone());
+                spawn_local(async move {
+                    if full {
+                        check::count("a client is turned away for want of descriptors");
+                        req::refuse(&client, 0).await;
+                    } else {
+                        req::serve(host, client).await;
+                    }
+                    drop(here);
+                });
+            }
+            Err(e) => {
+                check::count("accepting failed");
+                log::debug!("accept: {e}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/director.rs
@@ -0,0 +1,83 @@
+//! The director: discovery's list, watched call by call on one kept-alive connection.
+
+use super::host::Host;
+use super::http::{Connection, Response};
+use spanspur::api::{Event, ListKind};
+use spanspur::list::List;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// How long a call may wait at discovery for something new.
+const WAIT: Duration = Duration::from_secs(10);
+/// Past that, a call without an answer has failed: discovery is cut off and gives no sign.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Connecting to discovery takes no longer than this.
+const CONNECT: Duration = Duration::from_secs(1);
+/// A discovery that answers at once each time must not keep us busy; far under the 200 ms that end a watch.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Watches whenever the module asks for it, until the watch fails; when to try again is the module's choice.
+pub async fn run(host: Rc<Host>, at: SocketAddr, mut revision: u64) {
+    loop {
+        host.watch.notified().await;
+        let mut kept = None;
+        let mut listed = revision > 0;
+        loop {
+            let path = match listed {
+                true => format!(
+                    "/api/targets?since={revision}&timeout_ms={}",
+                    WAIT.as_millis()
+                ),
+                false => "/api/targets".to_owned(),
+            };
+            let call = timeout(WAIT + SILENCE, call(&mut kept, at, &path)).await;
+            let call = call.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+            let list = call
+                .map_err(|e| e.to_string())
+                .and_then(|answer| match answer.status {
+                    200 => List::parse(&answer.body),
+                    status => Err(format!("status {status}")),
+                });
+            match list {
+                Ok(list) => {
+                    log::debug!(
+                        "revision {}, complete {}, {} entries",
+                        list.revision,
+                        list.complete,
+                        list.members.len()
+                    );
+                    (revision, listed) = (list.revision, true);
+                    let kind = if list.complete {
+                        ListKind::Full
+                    } else {
+                        ListKind::Delta
+                    };
+                    host.list(kind, list);
+                    tokio::time::sleep(PAUSE).await;
+                }
+                Err(what) => {
+                    log::info!("the watch on discovery ends: {what}");
+                    host.event(Event::ListFailed);
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// One call, on the kept connection if there is one.
+async fn call(kept: &mut Option<Connection>, at: SocketAddr, path: &str) -> io::Result<Response> {
+    let mut connection = match kept.take() {
+        Some(connection) => connection,
+        None => timeout(CONNECT, Connection::open(at)).await??,
+    };
+    let answer = connection.get(path).await?;
+    if connection.alive {
+        *kept = Some(connection);
+    }
+    Ok(answer)
+}
--- /dev/null
+++ b/src/net/fetch.rs
@@ -0,0 +1,71 @@
+//! A fetch: one attempt at one backend, from connecting to its first line.
+
+use super::host::{Host, duration};
+use super::line::{Lines, first_answer};
+use spanspur::api::{Outcome, ServerId, Time};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout_at;
+
+/// A backend that has taken the connection.
+pub struct Backend {
+    pub stream: TcpStream,
+    /// Its first line, as it came.
+    pub answer: String,
+    /// What came after that line.
+    pub rest: Vec<u8>,
+}
+
+/// What may be sent where.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Kind {
+    /// New work, only for a backend that takes some.
+    New,
+    /// A connection that is open there already.
+    Again,
+}
+
+/// Tries a backend until `until`. `first` writes the first line, given the milliseconds that are left. The
+/// connection is closed by the time an error comes back, so that the next attempt is the only one out.
+pub async fn fetch(
+    host: &Host,
+    server: ServerId,
+    kind: Kind,
+    until: Time,
+    first: impl Fn(u64) -> String,
+) -> Result<Backend, Outcome> {
+    let Some(address) = host.address(server) else {
+        return Err(Outcome::Moot);
+    };
+    let end = host.instant(until);
+    let up_by = end.min(tokio::time::Instant::now() + host.connect_timeout);
+    let connecting = timeout_at(up_by, TcpStream::connect(address)).await;
+    let Ok(Ok(mut stream)) = connecting else {
+        return Err(Outcome::ConnectFailed);
+    };
+    // Connecting takes time, in which the director may have learnt that the backend drains or is gone, or
+    // the attempt's time may have run out: nothing may be sent then.
+    let left = duration(until - host.now());
+    if left < Duration::from_millis(1) || (kind == Kind::New && !host.takes_new(server)) {
+        return Err(Outcome::Moot);
+    }
+    let line = first(left.as_millis() as u64);
+    if stream.set_nodelay(true).is_err() || stream.write_all(line.as_bytes()).await.is_err() {
+        return Err(Outcome::ConnectFailed);
+    }
+    let mut lines = Lines::default();
+    match timeout_at(end, lines.next(&stream)).await {
+        Err(_) => Err(Outcome::Timeout),
+        Ok(Ok(Some(answer))) => {
+            first_answer(&answer)?;
+            Ok(Backend {
+                stream,
+                answer,
+                rest: lines.rest(),
+            })
+        }
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::Other => Err(Outcome::Error),
+        Ok(_) => Err(Outcome::Reset),
+    }
+}
--- /dev/null
+++ b/src/net/host.rs
@@ -0,0 +1,272 @@
+//! The module's host: it owns the balancer, the clock, the timers and the map from ids to addresses, has one
+//! inbox for each req, and carries out the module's actions in their order.
+
+use super::check;
+use super::delay::Delays;
+use spanspur::Balancer;
+use spanspur::api::*;
+use spanspur::config::Node;
+use spanspur::list::List;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::sync::{Notify, mpsc};
+
+/// What a req is to do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Order {
+    /// Try this backend, until then.
+    Send(ServerId, Time),
+    /// Synthetic answer: come again after so many milliseconds (0: no advice).
+    Refuse(u64),
+    /// Synthetic answer: failed.
+    Fail,
+    /// Stop waiting for the attempt with this number.
+    Cancel(u32),
+    /// End the standing connection politely.
+    Move,
+}
+
+struct Inbox {
+    orders: mpsc::UnboundedSender<Order>,
+    standing: bool,
+}
+
+struct State {
+    balancer: Balancer,
+    actions: Vec<Action>,
+    addresses: HashMap<ServerId, (MemberState, SocketAddr)>,
+    inboxes: HashMap<RequestId, Inbox>,
+    delays: Delays,
+}
+
+/// Shared by all tasks; never borrowed across an await.
+pub struct Host {
+    state: RefCell<State>,
+    /// The monotonic clock and the Unix time at its anchor: discovery's times are Unix times.
+    anchor: (Instant, Time),
+    /// Wakes the director.
+    pub watch: Notify,
+    /// The process is told to stop.
+    pub leaving: Cell<bool>,
+    /// The classes' names, for the clients' first lines.
+    pub classes: Vec<String>,
+    /// Connections belong to groups.
+    pub groups: bool,
+    /// A connection that is not up by then has failed.
+    pub connect_timeout: Duration,
+    /// The most connections that clients may have here at once.
+    pub room: usize,
+}
+
+/// A req's place at the host; dropped, it is gone there.
+pub struct Ticket {
+    host: Rc<Host>,
+    id: RequestId,
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.host.state.borrow_mut().inboxes.remove(&self.id);
+    }
+}
+
+/// Descriptors kept for what is not a client's or its backend's.
+const SPARE_SOCKETS: usize = 48;
+
+impl Host {
+    /// The host of a node, not yet told of any server.
+    pub fn new(node: Node) -> Self {
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let aims = node.config.classes.iter().filter_map(|c| c.message_aim);
+        let delays = Delays::new(aims.fold(f64::INFINITY, f64::min));
+        let connect_timeout = duration(node.config.connect_timeout);
+        let state = State {
+            balancer: Balancer::new(node.config, node.seed),
+            actions: Vec::new(),
+            addresses: HashMap::new(),
+            inboxes: HashMap::new(),
+            delays,
+        };
+        Self {
+            state: RefCell::new(state),
+            anchor: (Instant::now(), unix.unwrap_or_default().as_secs_f64()),
+            watch: Notify::new(),
+            leaving: Cell::new(false),
+            classes: node.classes,
+            groups: node.groups,
+            connect_timeout,
+            room: (node.sockets.saturating_sub(SPARE_SOCKETS) / 2).max(1),
+        }
+    }
+
+    /// The time now, on a clock that never goes back.
+    pub fn now(&self) -> Time {
+        self.anchor.1 + self.anchor.0.elapsed().as_secs_f64()
+    }
+
+    /// The instant of a time.
+    pub fn instant(&self, time: Time) -> tokio::time::Instant {
+        (self.anchor.0 + duration(time - self.anchor.1)).into()
+    }
+
+    /// Hands an event to the module and carries out what it answers, in order.
+    pub fn event(self: &Rc<Self>, event: Event) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let State {
+            balancer, actions, ..
+        } = &mut *state;
+        balancer.handle(now, &event, actions);
+        let mut actions = std::mem::take(&mut state.actions);
+        for action in actions.drain(..) {
+            log::trace!("{action:?}");
+            match action {
+                Action::Send { id, server, until } => state.order(id, Order::Send(server, until)),
+                Action::Refuse { id, retry_after } => {
+                    state.order(id, Order::Refuse((retry_after * 1000.0) as u64));
+                }
+                Action::Fail(id) => state.order(id, Order::Fail),
+                Action::Cancel { id, attempt } => state.order(id, Order::Cancel(attempt)),
+                Action::Move(id) => state.order(id, Order::Move),
+                Action::Watch => self.watch.notify_one(),
+                Action::Tell { .. } => check::count("peers are not spoken to"),
+                Action::Timer { after, token } => self.wake(after, token),
+                Action::Log(text) => log::info!("{text}"),
+            }
+        }
+        state.actions = actions;
+    }
+
+    fn wake(self: &Rc<Self>, after: Time, token: u64) {
+        let host = self.clone();
+        let after = duration(after);
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(after).await;
+            host.event(Event::Timer(token));
+        });
+    }
+
+    /// Takes a list from discovery: first the addresses, then the module.
+    pub fn list(self: &Rc<Self>, kind: ListKind, list: List) {
+        if let Some(entry) = list.unusable {
+            log::warn!("discovery names an address that cannot be used: {entry}");
+        }
+        let mut state = self.state.borrow_mut();
+        let addresses = &mut state.addresses;
+        if kind != ListKind::Delta {
+            addresses.clear();
+        }
+        for (member, address) in &list.members {
+            match member.state {
+                MemberState::Gone => drop(addresses.remove(&member.id)),
+                state => drop(addresses.insert(member.id, (state, *address))),
+            }
+            log::debug!("listed {:?} at {address}", member);
+        }
+        let members = list.members.into_iter().map(|(member, _)| member);
+        let event = Event::List(kind, members.collect());
+        // The module's turn takes the state again.
+        drop(state);
+        self.event(event);
+    }
+
+    /// The address of a listed backend.
+    pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
+        self.state.borrow().addresses.get(&server).map(|at| at.1)
+    }
+
+    /// Whether the director still says that this backend takes new work.
+    pub fn takes_new(&self, server: ServerId) -> bool {
+        let state = self.state.borrow();
+        state
+            .addresses
+            .get(&server)
+            .is_some_and(|at| at.0 == MemberState::Ready)
+    }
+
+    /// Any backend is known: requests can be decided.
+    pub fn ready(&self) -> bool {
+        !self.state.borrow().addresses.is_empty()
+    }
+
+    /// Opens an inbox; `None` if there is a live req with this id.
+    pub fn enter(
+        self: &Rc<Self>,
+        id: RequestId,
+    ) -> Option<(Ticket, mpsc::UnboundedReceiver<Order>)> {
+        let (orders, inbox) = mpsc::unbounded_channel();
+        let mut state = self.state.borrow_mut();
+        if state.inboxes.contains_key(&id) {
+            return None;
+        }
+        state.inboxes.insert(
+            id,
+            Inbox {
+                orders,
+                standing: false,
+            },
+        );
+        drop(state);
+        Some((
+            Ticket {
+                host: self.clone(),
+                id,
+            },
+            inbox,
+        ))
+    }
+
+    /// Notes that a req's connection stands.
+    pub fn stands(&self, id: RequestId) {
+        if let Some(inbox) = self.state.borrow_mut().inboxes.get_mut(&id) {
+            inbox.standing = true;
+        }
+    }
+
+    /// The reqs here: those that stand, or those that still wait for an answer.
+    pub fn reqs(&self, standing: bool) -> Vec<RequestId> {
+        let state = self.state.borrow();
+        let of = state
+            .inboxes
+            .iter()
+            .filter(|(_, inbox)| inbox.standing == standing);
+        of.map(|(id, _)| *id).collect()
+    }
+
+    /// Puts an order into a req's inbox that the module did not give: the process is leaving.
+    pub fn order(&self, id: RequestId, order: Order) {
+        self.state.borrow_mut().order(id, order);
+    }
+
+    /// From this time on a message is worth a word to the module.
+    pub fn slow_from(&self) -> Time {
+        self.state.borrow().delays.threshold()
+    }
+
+    /// Takes the time of a message at a backend.
+    pub fn message_took(self: &Rc<Self>, server: ServerId, took: Time) {
+        let now = self.now();
+        let event = self.state.borrow_mut().delays.measured(now, server, took);
+        if let Some(event) = event {
+            log::debug!("{event:?}");
+            self.event(event);
+        }
+    }
+}
+
+impl State {
+    fn order(&mut self, id: RequestId, order: Order) {
+        // A req that has just ended has no inbox any more; what was meant for it is void.
+        if let Some(inbox) = self.inboxes.get(&id) {
+            let _ = inbox.orders.send(order);
+        }
+    }
+}
+
+/// A span of the module's as the runtime's; what is not a length of time is none.
+pub fn duration(span: Time) -> Duration {
+    Duration::try_from_secs_f64(span.max(0.0)).unwrap_or(Duration::from_secs(4260))
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,12 @@
+//! The balancer on sockets, one module for each thing it holds.
+
+pub mod check;
+pub mod delay;
+pub mod director;
+pub mod drain;
+pub mod fetch;
+pub mod host;
+pub mod http;
+pub mod line;
+pub mod relay;
+pub mod req;
--- /dev/null
+++ b/src/net/relay.rs
@@ -0,0 +1,391 @@
+//! Standing connections: lines pass both ways until one side ends, the backend falls silent, or the client is
+//! told to move.
+
+use super::check;
+use super::fetch::Backend;
+use super::host::{Host, Order};
+use super::line::{MAX_LINE, Said};
+use socket2::SockRef;
+use spanspur::api::{Ended, Event, Outcome, RequestId, ServerId};
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::net::Shutdown;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// A backend that has left a line unanswered for so long is gone without a sign. Clients send a line every 2 s
+/// and the connection has to end within 7 s: this leaves a second for our own delays.
+const SILENCE: Duration = Duration::from_secs(4);
+/// When one side has ended, the other gets this long to end too.
+const LINGER: Duration = Duration::from_secs(3);
+/// Lines sent and not answered are remembered up to this number.
+const MAX_ASKED: usize = 64;
+
+/// What a step of a flow did.
+#[derive(PartialEq)]
+enum Step {
+    Read,
+    Wrote,
+    End,
+}
+
+/// Which side of a flow broke.
+enum Broken {
+    From,
+    To,
+}
+
+/// One direction: whole lines are passed on, so that MOVE can come between any two of them.
+struct Flow {
+    buf: Vec<u8>,
+    /// Whole lines at the start of the buffer, not written yet.
+    ready: usize,
+    /// Read so far and searched for the ends of lines.
+    lines: Vec<usize>,
+    ended: bool,
+    /// The end has been passed on.
+    shut: bool,
+}
+
+impl Flow {
+    fn new(rest: Vec<u8>) -> Self {
+        let mut flow = Self {
+            buf: rest,
+            ready: 0,
+            lines: Vec::new(),
+            ended: false,
+            shut: false,
+        };
+        flow.find_lines(0);
+        flow
+    }
+
+    fn find_lines(&mut self, from: usize) {
+        let fresh = self.buf[from..].iter().enumerate();
+        self.lines.extend(
+            fresh
+                .filter(|(_, b)| **b == b'\n')
+                .map(|(at, _)| from + at + 1),
+        );
+        self.ready = self.lines.last().copied().unwrap_or(self.ready);
+    }
+
+    /// Writes what is ready, else reads more: the buffer never holds more than one read. Safe to drop halfway.
+    async fn step(&mut self, from: &TcpStream, to: &TcpStream) -> Result<Step, Broken> {
+        loop {
+            if self.ready > 0 {
+                to.writable().await.map_err(|_| Broken::To)?;
+                match to.try_write(&self.buf[..self.ready]) {
+                    Ok(n) => {
+                        self.buf.drain(..n);
+                        self.ready -= n;
+                        return Ok(Step::Wrote);
+                    }
+                    Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                    Err(_) => return Err(Broken::To),
+                }
+            }
+            if self.ended {
+                if !self.shut {
+                    self.shut = true;
+                    let _ = SockRef::from(to).shutdown(Shutdown::Write);
+                    return Ok(Step::End);
+                }
+                return std::future::pending().await;
+            }
+            // A line that never ends costs its own connection, not our memory.
+            if self.buf.len() >= MAX_LINE {
+                check::count("a line of a standing connection is too long");
+                return Err(Broken::From);
+            }
+            from.readable().await.map_err(|_| Broken::From)?;
+            let mut chunk = [0; MAX_LINE];
+            let room = MAX_LINE - self.buf.len();
+            match from.try_read(&mut chunk[..room]) {
+                Ok(0) => {
+                    // What is left without an end goes on as it is.
+                    self.ended = true;
+                    self.ready = self.buf.len();
+                }
+                Ok(n) => {
+                    let start = self.buf.len();
+                    self.buf.extend_from_slice(&chunk[..n]);
+                    self.find_lines(start);
+                    return Ok(Step::Read);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return Err(Broken::From),
+            }
+        }
+    }
+
+    /// Takes the fresh lines' places in the buffer.
+    fn fresh(&mut self) -> Vec<usize> {
+        std::mem::take(&mut self.lines)
+    }
+
+    /// Ends the flow with a last line, after the whole lines that are on their way.
+    fn finish_with(&mut self, line: &[u8]) {
+        self.buf.truncate(self.ready);
+        self.buf.extend_from_slice(line);
+        self.ready = self.buf.len();
+        self.ended = true;
+    }
+}
+
+/// Closes with a reset, as the other side did.
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// One standing connection.
+struct Relay {
+    host: Rc<Host>,
+    id: RequestId,
+    server: ServerId,
+    attempt: u32,
+    /// When the lines were sent that the backend has not answered yet.
+    asked: VecDeque<Instant>,
+    /// Lines read from the client that are not written yet.
+    pending_asks: usize,
+    /// The backend has been heard or asked last then, as far as silence goes.
+    heard: Instant,
+    /// How the backend said that it ends the connection.
+    last_word: Option<Outcome>,
+    /// The module knows that it is over.
+    told: bool,
+    /// A late answer has been reported already for the line in front.
+    late_told: Instant,
+}
+
+/// Passes lines between a client and its backend until the connection is over; `ahead` is what the client
+/// has sent before its turn.
+pub async fn relay(
+    host: Rc<Host>,
+    (id, server, attempt): (RequestId, ServerId, u32),
+    client: TcpStream,
+    ahead: Vec<u8>,
+    backend: Backend,
+    mut orders: UnboundedReceiver<Order>,
+) {
+    let now = Instant::now();
+    let mut relay = Relay {
+        host,
+        id,
+        server,
+        attempt,
+        asked: VecDeque::new(),
+        pending_asks: 0,
+        heard: now,
+        last_word: None,
+        told: false,
+        late_told: now,
+    };
+    let mut up = Flow::new(ahead);
+    let mut down = Flow::new([backend.answer.as_bytes(), b"\r\n", &backend.rest].concat());
+    let backend = backend.stream;
+    relay.pending_asks = up.fresh().len();
+    // The first line is the answer, not a reply to a line.
+    let lines = down.fresh();
+    relay.backend_said(&down.buf, &lines, 1);
+    // The end of one side; from then on the other has its time to end too.
+    let mut linger: Option<Instant> = None;
+    let mut up_dead = false;
+    loop {
+        let wake = linger.unwrap_or_else(|| relay.watch_until(&down));
+        tokio::select! {
+            biased;
+            order = orders.recv() => match order {
+                Some(Order::Move) if !relay.told => {
+                    relay.over(Outcome::Cancelled);
+                    leave(&mut down, &mut linger);
+                    up_dead = true;
+                }
+                // The module may have asked to move what has just ended.
+                Some(Order::Move) => {}
+                Some(order) => {
+                    check::holds(false, "a standing connection gets no order but to move");
+                    log::warn!("{order:?} for a standing connection");
+                }
+                None => return,
+            },
+            step = down.step(&backend, &client) => match step {
+                Ok(Step::Read) => {
+                    let lines = down.fresh();
+                    relay.backend_said(&down.buf, &lines, 0);
+                }
+                Ok(Step::Wrote) => {}
+                Ok(Step::End) => {
+                    relay.over(relay.last_word.unwrap_or(Outcome::Reset));
+                    if up.shut {
+                        return;
+                    }
+                    linger.get_or_insert_with(|| Instant::now() + LINGER);
+                }
+                Err(Broken::From) if relay.last_word.is_some() || relay.told => {
+                    // After its last word or ours, the manner of the end says nothing more.
+                    down.ended = true;
+                    down.ready = down.buf.len();
+                }
+                Err(Broken::From) => {
+                    relay.over(Outcome::Reset);
+                    return reset(&client);
+                }
+                Err(Broken::To) => {
+                    relay.gone();
+                    return reset(&backend);
+                }
+            },
+            step = up.step(&client, &backend), if !up_dead => match step {
+                Ok(Step::Read) => relay.pending_asks += up.fresh().len(),
+                Ok(Step::Wrote) => {
+                    if up.ready == 0 {
+                        relay.asked_all();
+                    }
+                }
+                Ok(Step::End) => {
+                    relay.gone();
+                    if down.shut {
+                        return;
+                    }
+                    linger.get_or_insert_with(|| Instant::now() + LINGER);
+                }
+                Err(Broken::From) => {
+                    relay.gone();
+                    return reset(&backend);
+                }
+                // The other direction tells how the backend ended; it may hold lines to pass on still.
+                Err(Broken::To) => up_dead = true,
+            },
+            // After a move or the backend's end, all that the client can still do is to end its side.
+            end = discard(&client), if up_dead && down.shut => return end,
+            () = sleep_until(wake) => {
+                if linger.is_some() {
+                    return;
+                }
+                if relay.silent(&down) {
+                    // The client can go elsewhere at once; the connection is not coming back.
+                    check::count("a backend fell silent");
+                    relay.over(Outcome::Reset);
+                    leave(&mut down, &mut linger);
+                    up_dead = true;
+                }
+            }
+        }
+    }
+}
+
+/// Tells the client to go elsewhere, between two lines, and ends its side.
+fn leave(down: &mut Flow, linger: &mut Option<Instant>) {
+    down.finish_with(b"MOVE\r\n");
+    *linger = Some(Instant::now() + LINGER);
+}
+
+/// Reads and drops until the end: closing with unread bytes would turn the end into a reset and could take
+/// the last line with it.
+pub async fn discard(stream: &TcpStream) {
+    let mut chunk = [0; 1024];
+    while stream.readable().await.is_ok() {
+        match stream.try_read(&mut chunk) {
+            Ok(0) => return,
+            Ok(_) => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(_) => return,
+        }
+    }
+}
+
+/// Writes a last line and ends the stream in order.
+pub async fn say_last(stream: &TcpStream, line: &[u8]) {
+    let write = async {
+        let mut left = line;
+        while !left.is_empty() && stream.writable().await.is_ok() {
+            match stream.try_write(left) {
+                Ok(n) => left = &left[n..],
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(_) => return,
+            }
+        }
+        let _ = SockRef::from(stream).shutdown(Shutdown::Write);
+        discard(stream).await;
+    };
+    let _ = timeout(LINGER, write).await;
+}
+
+impl Relay {
+    /// Lines of the backend, which end at `ends` in the buffer; the first `skip` are not part of the talk.
+    fn backend_said(&mut self, buf: &[u8], ends: &[usize], skip: usize) {
+        self.heard = Instant::now();
+        let mut start = 0;
+        for (at, end) in ends.iter().enumerate() {
+            let line = &buf[start..*end];
+            start = *end;
+            if at < skip {
+                continue;
+            }
+            match Said::parse(line) {
+                Said::Load(load) => self.host.event(Event::Load(self.id, load)),
+                Said::Bye => self.last_word = Some(Outcome::Ok),
+                Said::Move => self.last_word = Some(Outcome::Cancelled),
+                Said::Reply => {
+                    if let Some(asked) = self.asked.pop_front() {
+                        let took = self.heard - asked;
+                        self.host.message_took(self.server, took.as_secs_f64());
+                    }
+                }
+            }
+        }
+    }
+
+    /// All lines read from the client are on their way to the backend.
+    fn asked_all(&mut self) {
+        let now = Instant::now();
+        if self.asked.is_empty() {
+            self.heard = now;
+        }
+        for _ in 0..std::mem::take(&mut self.pending_asks) {
+            if self.asked.len() < MAX_ASKED {
+                self.asked.push_back(now);
+            }
+        }
+    }
+
+    /// Until when nothing has to be looked at if nothing comes.
+    fn watch_until(&self, down: &Flow) -> Instant {
+        let far = Instant::now() + Duration::from_secs(3600);
+        if self.asked.is_empty() || down.ready > 0 {
+            far
+        } else {
+            self.heard + SILENCE
+        }
+    }
+
+    /// A line is unanswered for too long, and it is not our client that holds the backend up.
+    fn silent(&self, down: &Flow) -> bool {
+        !self.asked.is_empty() && down.ready == 0 && self.heard.elapsed() >= SILENCE
+    }
+
+    /// The backend's side is over: the module hears it once.
+    fn over(&mut self, outcome: Outcome) {
+        if !std::mem::replace(&mut self.told, true) {
+            let (id, server, attempt) = (self.id, self.server, self.attempt);
+            self.host.event(Event::Ended(Ended {
+                id,
+                attempt,
+                server,
+                outcome,
+                settled: true,
+            }));
+        }
+    }
+
+    /// The client has left.
+    fn gone(&mut self) {
+        if !std::mem::replace(&mut self.told, true) {
+            self.host.event(Event::Gone(self.id));
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -3,6 +3,7 @@
 
 use crate::Balancer;
 use crate::api::*;
+use crate::config::{Settings, need, sane, zone_of};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD as BASE64;
 use serde::{Deserialize, Serialize};
@@ -93,56 +94,6 @@
     pod: Option<u32>,
 }
 
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Settings {
-    balancers: Option<u32>,
-    zone: Option<String>,
-    classes: Option<Vec<RawClass>>,
-    membership_mode: Option<String>,
-    domain: Option<Domain>,
-    limits: Option<Limits>,
-    rules: Option<Rules>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RawClass {
-    name: String,
-    on_time: f64,
-    semantics: Option<String>,
-    group: Option<String>,
-    repeat_window: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Domain {
-    message_aim: Option<Vec<Option<f64>>>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Limits {
-    cancel: Option<bool>,
-    connect_timeout: Option<f64>,
-    max_attempts: Option<u32>,
-    max_retry_after: Option<f64>,
-    retry_after: Option<bool>,
-    may_tell: Option<bool>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct Rules {
-    ask_within: Option<f64>,
-    cold_from: Option<f64>,
-    drain_grace: Option<f64>,
-    fall: Option<f64>,
-    fall_multiple: Option<f64>,
-    warm_up: Option<f64>,
-}
-
 #[derive(Serialize)]
 struct Reply<'a> {
     n: u64,
@@ -237,37 +188,14 @@
     Ok(())
 }
 
-fn need<T>(value: Option<T>, field: &str) -> Result<T, String> {
-    value.ok_or_else(|| format!("field '{field}' is missing"))
-}
-
-fn sane(value: f64, field: &str) -> Result<f64, String> {
-    if value.is_finite() && value >= 0.0 {
-        return Ok(value);
-    }
-    Err(format!(
-        "field '{field}' is {value}, not a number from 0 up"
-    ))
-}
-
 fn time(value: Option<f64>, field: &str) -> Result<Time, String> {
     sane(need(value, field)?, field)
 }
 
-/// A figure of the settings that may be absent.
-fn figure(value: Option<f64>, otherwise: f64, field: &str) -> Result<f64, String> {
-    value.map_or(Ok(otherwise), |v| sane(v, field))
-}
-
 fn place(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|n| n == name)
 }
 
-/// Zones are told apart by the hash of their names; no name is a zone of its own.
-fn zone_of(name: Option<&str>) -> u32 {
-    Key::of(name.unwrap_or("")).0 as u32
-}
-
 /// Request ids are 16 lower-case hex digits, and go back unaltered.
 fn request_id(text: Option<Text>) -> Result<RequestId, String> {
     let text = need(text, "ref")?.0;
@@ -296,81 +224,6 @@
     })
 }
 
-fn class_of(raw: &RawClass, message_aim: Option<f64>) -> Result<Class, String> {
-    let effect = match raw.semantics.as_deref() {
-        None | Some("free") => Effect::Safe,
-        Some("single_shot") => Effect::Unsafe,
-        Some("guarded") => Effect::Keyed {
-            scope: match raw.group.as_deref() {
-                None | Some("all") => Scope::All,
-                Some("zone") => Scope::Zone,
-                Some("cell") => Scope::Cell,
-                Some(other) => {
-                    return Err(format!("class '{}': group '{other}' is unknown", raw.name));
-                }
-            },
-            window: figure(raw.repeat_window, 0.0, "repeatWindow")?,
-        },
-        Some(other) => {
-            return Err(format!(
-                "class '{}': semantics '{other}' are unknown",
-                raw.name
-            ));
-        }
-    };
-    Ok(Class {
-        aim: sane(raw.on_time, "onTime")?,
-        effect,
-        message_aim: message_aim.map(|aim| sane(aim, "messageAim")).transpose()?,
-    })
-}
-
-fn config_of(settings: Settings) -> Result<(Config, Vec<String>), String> {
-    let classes = settings.classes.unwrap_or_default();
-    if classes.is_empty() {
-        return Err("the settings have no classes".into());
-    }
-    let limits = settings.limits.unwrap_or_default();
-    let rules = settings.rules.unwrap_or_default();
-    let aims = settings
-        .domain
-        .unwrap_or_default()
-        .message_aim
-        .unwrap_or_default();
-    let aim = |i: usize| aims.get(i).copied().flatten();
-    let read = classes
-        .iter()
-        .enumerate()
-        .map(|(i, class)| class_of(class, aim(i)));
-    let config = Config {
-        nodes: settings.balancers.unwrap_or(1),
-        zone: zone_of(settings.zone.as_deref()),
-        classes: read.collect::<Result<_, _>>()?,
-        discovery: match settings.membership_mode.as_deref() {
-            None | Some("pushed") => Discovery::Push,
-            Some("on_request") => Discovery::Ask,
-            Some(other) => return Err(format!("membershipMode '{other}' is unknown")),
-        },
-        max_attempts: limits.max_attempts.unwrap_or(1),
-        connect_timeout: figure(limits.connect_timeout, 0.25, "connectTimeout")?,
-        may_cancel: limits.cancel.unwrap_or(false),
-        may_tell: limits.may_tell.unwrap_or(false),
-        max_retry_after: match limits.retry_after {
-            Some(true) => Some(figure(limits.max_retry_after, 0.0, "maxRetryAfter")?),
-            _ => None,
-        },
-        ask_within: figure(rules.ask_within, 10.0, "askWithin")?,
-        cold_from: figure(rules.cold_from, 1.0, "coldFrom")?,
-        warm_up: figure(rules.warm_up, 0.0, "warmUp")?,
-        fall_multiple: figure(rules.fall_multiple, 1.0, "fallMultiple")?,
-        fall: figure(rules.fall, 1.0, "fall")?,
-    };
-    Ok((
-        config,
-        classes.into_iter().map(|class| class.name).collect(),
-    ))
-}
-
 /// What an entry of a list says, for the module.
 fn member(id: ServerId, entry: &Entry) -> Result<Member, String> {
     Ok(Member {
@@ -418,7 +271,7 @@
         match raw.kind.0.as_ref() {
             "defineList" => return self.define(raw),
             "spawn" => {
-                let (config, classes) = config_of(need(raw.config, "config")?)?;
+                let (config, classes) = need(raw.config, "config")?.read()?;
                 let seed = need(raw.random_seed, "randomSeed")?;
                 let instance = Instance {
                     balancer: Balancer::new(config, seed),
