--- a/src/main.rs
+++ b/src/main.rs
@@ -51,9 +51,10 @@
         duration(node.longest_wait),
     );
     let host = Rc::new(Host::new(node));
-    let revision = known.revision;
+    // Versions start from 0: only a node that knows no server asks for the whole list.
+    let listed = Some(known.revision).filter(|_| !known.members.is_empty());
     host.list(ListKind::Cached, known);
-    spawn_local(director::run(host.clone(), discovery, revision));
+    spawn_local(director::run(host.clone(), discovery, listed));
     spawn_local(accept(host.clone(), listener));
     drain::run(host, wait)
         .await
--- a/src/net/delay.rs
+++ b/src/net/delay.rs
@@ -26,11 +26,6 @@
         }
     }
 
-    /// From which time on a message is worth a word.
-    pub fn threshold(&self) -> Time {
-        self.threshold
-    }
-
     /// Takes one measure; says what the module is to hear: once a second while over, once when clear.
     pub fn measured(&mut self, now: Time, server: ServerId, took: Time) -> Option<Event> {
         if took <= self.threshold {
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -21,18 +21,17 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// Watches whenever the module asks for it, until the watch fails; when to try again is the module's choice.
-pub async fn run(host: Rc<Host>, at: SocketAddr, mut revision: u64) {
+pub async fn run(host: Rc<Host>, at: SocketAddr, mut listed: Option<u64>) {
     loop {
         host.watch.notified().await;
         let mut kept = None;
-        let mut listed = revision > 0;
         loop {
             let path = match listed {
-                true => format!(
+                Some(revision) => format!(
                     "/api/targets?since={revision}&timeout_ms={}",
                     WAIT.as_millis()
                 ),
-                false => "/api/targets".to_owned(),
+                None => "/api/targets".to_owned(),
             };
             let call = timeout(WAIT + SILENCE, call(&mut kept, at, &path)).await;
             let call = call.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
@@ -50,7 +49,7 @@
                         list.complete,
                         list.members.len()
                     );
-                    (revision, listed) = (list.revision, true);
+                    listed = Some(list.revision);
                     let kind = if list.complete {
                         ListKind::Full
                     } else {
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -241,11 +241,6 @@
         self.state.borrow_mut().order(id, order);
     }
 
-    /// From this time on a message is worth a word to the module.
-    pub fn slow_from(&self) -> Time {
-        self.state.borrow().delays.threshold()
-    }
-
     /// Takes the time of a message at a backend.
     pub fn message_took(self: &Rc<Self>, server: ServerId, took: Time) {
         let now = self.now();
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -157,8 +157,6 @@
     last_word: Option<Outcome>,
     /// The module knows that it is over.
     told: bool,
-    /// A late answer has been reported already for the line in front.
-    late_told: Instant,
 }
 
 /// Passes lines between a client and its backend until the connection is over; `ahead` is what the client
@@ -182,7 +180,6 @@
         heard: now,
         last_word: None,
         told: false,
-        late_told: now,
     };
     let mut up = Flow::new(ahead);
     let mut down = Flow::new([backend.answer.as_bytes(), b"\r\n", &backend.rest].concat());
@@ -326,6 +323,13 @@
             if at < skip {
                 continue;
             }
+            log::trace!(
+                "{:?} at {:?} said {:?}, asked {}",
+                self.id,
+                self.server,
+                String::from_utf8_lossy(line),
+                self.asked.len()
+            );
             match Said::parse(line) {
                 Said::Load(load) => self.host.event(Event::Load(self.id, load)),
                 Said::Bye => self.last_word = Some(Outcome::Ok),
@@ -371,6 +375,7 @@
     /// The backend's side is over: the module hears it once.
     fn over(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.told, true) {
+            log::debug!("{:?} at {:?} is over: {outcome:?}", self.id, self.server);
             let (id, server, attempt) = (self.id, self.server, self.attempt);
             self.host.event(Event::Ended(Ended {
                 id,
@@ -385,6 +390,7 @@
     /// The client has left.
     fn gone(&mut self) {
         if !std::mem::replace(&mut self.told, true) {
+            log::debug!("{:?} at {:?}: the client left", self.id, self.server);
             self.host.event(Event::Gone(self.id));
         }
     }
