--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -324,11 +324,11 @@
                 continue;
             }
             log::trace!(
-                "{:?} at {:?} said {:?}, asked {}",
+                "{:?} at {:?} said {:?}, asked {:?} ago",
                 self.id,
                 self.server,
                 String::from_utf8_lossy(line),
-                self.asked.len()
+                self.asked.front().map(Instant::elapsed)
             );
             match Said::parse(line) {
                 Said::Load(load) => self.host.event(Event::Load(self.id, load)),
