--- /dev/null
+++ b/tests/sockets/main.rs
@@ -0,0 +1,179 @@
+//! Stories over loopback sockets: one balancer process among scripted peers.
+
+mod peers;
+use peers::*;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+#[test]
+fn a_client_is_served_and_its_first_line_goes_on_unchanged_but_for_d() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let mut client = balancer.open(0xa1, 2000);
+    let (mut server, line) = backend.accept();
+    let (head, tail) = line.split_once("d=").expect("a wait");
+    let (wait, tail) = tail.split_once(',').expect("more fields");
+    assert_eq!(
+        (head, tail),
+        ("OPEN 00000000000000a1 7f3a c=live,", "g=5c0f,x=1\r\n")
+    );
+    assert!(
+        (1..2000).contains(&wait.parse::<u64>().expect("a number")),
+        "{wait}"
+    );
+    server.say("UP r7\r\nLOAD 12.5\r\n");
+    assert_eq!(
+        (client.line(), client.line()),
+        ("UP r7\r\n".into(), "LOAD 12.5\r\n".into())
+    );
+    client.say("M 1\r\n");
+    assert_eq!(server.line(), "M 1\r\n");
+    // Its end comes in kind, after its last word.
+    server.say("BYE\r\n");
+    server.stream().shutdown(Shutdown::Both).expect("open");
+    assert_eq!(
+        (client.line(), client.line()),
+        ("BYE\r\n".into(), String::new())
+    );
+}
+
+#[test]
+fn a_backend_that_is_busy_or_broken_is_followed_by_the_next_one_only() {
+    let (discovery, one, two) = (Discovery::new(), Backend::new("s-1"), Backend::new("s-2"));
+    let balancer = Balancer::start(&discovery, &[one.entry("SERVING"), two.entry("SERVING")]);
+    let mut client = balancer.open(0xb1, 2000);
+    // Whichever ranks first for this key refuses, the other breaks: nothing is left but a refusal.
+    let first = std::thread::scope(|scope| {
+        let asked = [&one, &two].map(|backend| {
+            scope.spawn(move || {
+                let (mut server, line) = backend.accept();
+                assert!(line.starts_with("OPEN 00000000000000b1 "), "{line}");
+                server.say("BUSY\r\n");
+                // The balancer has let go of this attempt before it sends the next.
+                (server.line(), Instant::now())
+            })
+        });
+        asked.map(|one| one.join().expect("asked"))
+    });
+    assert_eq!([first[0].0.as_str(), first[1].0.as_str()], ["", ""]);
+    assert!(client.line().starts_with("BUSY"));
+    assert_eq!(client.line(), "");
+}
+
+#[test]
+fn an_answer_that_comes_too_late_never_reaches_the_client() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let asked = Instant::now();
+    let mut client = balancer.open(0xc1, 600);
+    let (server, _) = backend.accept();
+    assert!(client.line().starts_with("BUSY"));
+    assert!(
+        asked.elapsed() < Duration::from_millis(650),
+        "{:?}",
+        asked.elapsed()
+    );
+    let _ = std::io::Write::write_all(&mut server.stream(), b"UP late\r\n");
+    assert_eq!(rest(client), "");
+}
+
+#[test]
+fn nothing_new_goes_to_a_backend_once_the_director_knows_that_it_drains() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let (mut client, mut server) = balancer.standing(0xd1, &backend);
+    // A call that fails ends the watch; the next one picks up at the version that is known.
+    discovery.answer("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    discovery.tell(2, false, &[backend.entry("DRAINING")]);
+    discovery.wait_for_calls(3);
+    let calls = discovery.calls.lock().expect("whole").clone();
+    let since: Vec<bool> = calls.iter().map(|call| call.contains("since=2&")).collect();
+    assert_eq!(since, [false, false, true], "{calls:?}");
+    let mut late = balancer.open(0xd2, 700);
+    assert!(late.line().starts_with("BUSY"));
+    assert!(backend.is_left_alone(Duration::from_millis(100)));
+    // What stands there goes on.
+    client.say("M 1\r\n");
+    assert_eq!(server.line(), "M 1\r\n");
+}
+
+#[test]
+fn hostile_first_lines_cost_their_own_connection_only() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let endless = "x".repeat(8000);
+    let odd = [
+        "GET / HTTP/1.1\r\n",
+        "OPEN 1 k c=live,d=5\r\n",
+        "OPEN 00000000000000e1 k c=live,d=-5\r\n",
+        "OPEN 00000000000000e1 k c=live\n",
+        "OPEN 00000000000000e1 k c=live,d=9,d=9\r\n",
+        "OPEN 00000000000000e1 k c=li\u{e9}ve,d=9\r\n",
+        &endless,
+    ];
+    for line in odd {
+        let mut client = balancer.connect();
+        client.say(line);
+        assert_eq!(client.line(), "ERR\r\n", "{line:?}");
+    }
+    let (mut client, mut server) = balancer.standing(0xe2, &backend);
+    // A line without an end ends the connection that it stands on.
+    client.say(&endless);
+    assert!(matches!(server.line().as_str(), "" | "reset"));
+    assert!(balancer.open(0xe3, 50).line().starts_with("BUSY"));
+}
+
+#[test]
+fn a_silent_backend_is_left_in_time_and_one_that_answers_is_not() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let (mut client, mut server) = balancer.standing(0xf1, &backend);
+    let (mut quiet, mut idle) = balancer.standing(0xf2, &backend);
+    client.say("M 1\r\n");
+    assert_eq!(server.line(), "M 1\r\n");
+    let asked = Instant::now();
+    assert_eq!(client.line(), "MOVE\r\n");
+    assert!(
+        asked.elapsed() < Duration::from_secs(6),
+        "{:?}",
+        asked.elapsed()
+    );
+    assert_eq!(client.line(), "");
+    // Nothing was asked here, so nothing is missing.
+    idle.say("LOAD 3\r\n");
+    assert_eq!(quiet.line(), "LOAD 3\r\n");
+}
+
+#[test]
+fn ends_and_resets_are_passed_on_in_kind() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let (mut client, mut server) = balancer.standing(0x11, &backend);
+    client.stream().shutdown(Shutdown::Write).expect("open");
+    assert_eq!(server.line(), "");
+    server.say("BYE\r\n");
+    assert_eq!(client.line(), "BYE\r\n");
+    let (mut client, server) = balancer.standing(0x12, &backend);
+    // Closing with an unread line resets the connection.
+    client.say("M 1\r\n");
+    server.stream().peek(&mut [0]).expect("a line");
+    drop(server);
+    assert_eq!(client.line(), "reset");
+}
+
+#[test]
+fn at_its_end_the_balancer_moves_its_clients_and_serves_who_still_comes() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let (mut client, _server) = balancer.standing(0x21, &backend);
+    balancer.terminate();
+    let (mut late, _late_server) = balancer.standing(0x22, &backend);
+    for client in [&mut client, &mut late] {
+        assert_eq!(
+            (client.line(), client.line()),
+            ("MOVE\r\n".into(), String::new())
+        );
+    }
+    drop((client, late));
+    assert_eq!(balancer.exit(), Some(0));
+}
--- /dev/null
+++ b/tests/sockets/peers.rs
@@ -0,0 +1,267 @@
+//! Scripted peers around one balancer process: clients, backends and discovery, each on an ephemeral port.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// No step takes longer; a story that would hang fails instead.
+const PATIENCE: Duration = Duration::from_secs(15);
+
+/// One end of a connection that speaks lines.
+pub struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(PATIENCE)).expect("a timeout");
+        Self(BufReader::new(stream))
+    }
+
+    pub fn say(&mut self, text: &str) {
+        self.0
+            .get_mut()
+            .write_all(text.as_bytes())
+            .expect("written");
+    }
+
+    /// The next line with its end, or "" at the end of the stream; "reset" where it broke.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(_) => line,
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => "reset".into(),
+            Err(e) => panic!("no line: {e}"),
+        }
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        self.0.get_ref()
+    }
+}
+
+/// A backend whose part the story plays.
+pub struct Backend {
+    listener: TcpListener,
+    pub id: &'static str,
+}
+
+impl Backend {
+    pub fn new(id: &'static str) -> Self {
+        Self {
+            listener: TcpListener::bind("127.0.0.1:0").expect("a port"),
+            id,
+        }
+    }
+
+    pub fn entry(&self, phase: &str) -> String {
+        let at = self.listener.local_addr().expect("bound");
+        let id = self.id;
+        format!(
+            r#"{{"id":"{id}","host_port":"{at}","locality":"a","flavor":"m","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
+        )
+    }
+
+    /// The next connection, and the first line on it.
+    pub fn accept(&self) -> (Peer, String) {
+        let mut peer = Peer::new(self.listener.accept().expect("a connection").0);
+        let line = peer.line();
+        (peer, line)
+    }
+
+    /// Whether nobody connects for a while.
+    pub fn is_left_alone(&self, span: Duration) -> bool {
+        self.listener.set_nonblocking(true).expect("settable");
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            if self.listener.accept().is_ok() {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.listener.set_nonblocking(false).is_ok()
+    }
+}
+
+/// Takes the answers that the story prepares, one for each call, and says what was called.
+pub struct Discovery {
+    pub address: SocketAddr,
+    pub calls: Arc<Mutex<Vec<String>>>,
+    answers: std::sync::mpsc::Sender<String>,
+}
+
+impl Discovery {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let (answers, prepared) = std::sync::mpsc::channel::<String>();
+        let seen = calls.clone();
+        std::thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let mut peer = Peer(BufReader::new(stream));
+                loop {
+                    let call = peer.line();
+                    if call.is_empty() || call == "reset" {
+                        break;
+                    }
+                    while peer.line().trim() != "" {}
+                    seen.lock().expect("whole").push(call);
+                    let Ok(answer) = prepared.recv() else { return };
+                    if peer.0.get_mut().write_all(answer.as_bytes()).is_err() {
+                        break;
+                    }
+                    if !answer.starts_with("HTTP/1.1 200") {
+                        break;
+                    }
+                }
+            }
+        });
+        Self {
+            address,
+            calls,
+            answers,
+        }
+    }
+
+    /// Prepares an answer with this list.
+    pub fn tell(&self, revision: u64, complete: bool, entries: &[String]) {
+        let body = list(revision, complete, entries);
+        self.answer(&format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        ));
+    }
+
+    pub fn answer(&self, text: &str) {
+        self.answers.send(text.into()).expect("discovery runs");
+    }
+
+    pub fn wait_for_calls(&self, count: usize) {
+        wait_until(|| self.calls.lock().expect("whole").len() >= count);
+    }
+}
+
+pub fn wait_until(mut fact: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !fact() {
+        assert!(Instant::now() < end, "waited in vain");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn list(revision: u64, complete: bool, entries: &[String]) -> String {
+    let members = entries.join(",");
+    format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
+}
+
+/// The program under test, ended when dropped.
+pub struct Balancer {
+    child: Child,
+    address: SocketAddr,
+    _folder: Folder,
+}
+
+struct Folder(std::path::PathBuf);
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+impl Drop for Balancer {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Balancer {
+    /// Starts one that knows these servers, and waits until it is ready.
+    pub fn start(discovery: &Discovery, known: &[String]) -> Self {
+        // A port that was free a moment ago.
+        let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
+        let address = free.expect("a port");
+        let folder = std::env::temp_dir().join(format!(
+            "spanspur-{}-{}",
+            std::process::id(),
+            address.port()
+        ));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let config = folder.join("config.json");
+        let settings = r#"{"balancers":1,"zone":"a","membershipMode":"on_request",
+            "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
+            "domain":{"groups":true,"messageAim":[0.25]},
+            "limits":{"maxAttempts":3,"connectTimeout":0.25,"cancel":true},"rules":{"askWithin":1.0}}"#;
+        let text = format!(
+            r#"{{"name":"n0","listen":"{address}","discovery":"{}","seed":"7","limits":{{"sockets":256}},
+            "known":{},"settings":{settings}}}"#,
+            discovery.address,
+            list(1, true, known)
+        );
+        std::fs::write(&config, text).expect("written");
+        let child = Command::new(env!("CARGO_BIN_EXE_spanspur"))
+            .env("BALANCER_CONFIG", &config)
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let balancer = Self {
+            child,
+            address,
+            _folder: Folder(folder),
+        };
+        wait_until(|| TcpStream::connect(address).is_ok());
+        let mut front = balancer.connect();
+        front.say("PING\r\n");
+        assert_eq!(front.line(), "PONG\r\n");
+        balancer
+    }
+
+    pub fn connect(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.address).expect("accepted"))
+    }
+
+    /// A client that asks for a connection and will wait for `ms`.
+    pub fn open(&self, id: u64, ms: u64) -> Peer {
+        let mut client = self.connect();
+        client.say(&format!("OPEN {id:016x} 7f3a c=live,d={ms},g=5c0f,x=1\r\n"));
+        client
+    }
+
+    /// A client whose connection stands, with its backend.
+    pub fn standing(&self, id: u64, backend: &Backend) -> (Peer, Peer) {
+        let mut client = self.open(id, 2000);
+        let (mut server, _) = backend.accept();
+        server.say("UP r1\r\n");
+        assert_eq!(client.line(), "UP r1\r\n");
+        (client, server)
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(
+            Command::new("kill")
+                .args(["-TERM", &pid])
+                .status()
+                .is_ok_and(|s| s.success())
+        );
+    }
+
+    /// How the process ended.
+    pub fn exit(mut self) -> Option<i32> {
+        let mut code = None;
+        wait_until(|| {
+            let ended = self.child.try_wait().expect("a child");
+            ended.map(|status| code = status.code()).is_some()
+        });
+        code
+    }
+}
+
+/// Reads until the stream ends.
+pub fn rest(mut peer: Peer) -> String {
+    let mut text = String::new();
+    let _ = peer.0.read_to_string(&mut text);
+    text
+}
