Let the loads tell that a server is full where no notes of delay come

One backend drowned from about 8 s on and dropped its newest connections at 11.5 s; the module neither skipped it nor moved anyone. Backends say M, LOAD, BYE; each reply came 10 to 40 us after its line (2 ms once), also from the backend that drowned. So on these sockets no delay can be measured, and Event::Delay, the module's only sign of overload, never comes. At fault: Event::Load in Balancer::handle kept the figure and used it for choosing whom to move only. Now Balancer::weigh estimates once a second which share of its size a server bears and treats it as busy from 0.6 on; notes, where they come, overrule it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,17 @@
 const RECOVERY_DOUBLINGS: f64 = 2.0;
 /// Arrivals are counted over about this many seconds.
 const RATE_SPAN: Time = 10.0;
+/// Where no notes of delay come, loads tell: a server is busy from this share of its size on. Sizes are
+/// nominal and other nodes' loads are guessed, so it lies well under the whole.
+const FULL_FROM: f64 = 0.6;
+/// How much steeper than the share the level rises from there.
+const STEEP: f64 = 2.0;
+/// What a group costs each server that holds any of it, in mean connections; a unit of size, in loads.
+const GROUP_LOAD: f64 = 3.0;
+const UNIT: f64 = 1e6;
+/// Loads of a server are weighed this often, and not while notes have come of late: they know better.
+const WEIGH_EVERY: Time = 1.0;
+const NOTES_RULE: Time = 30.0;
 /// First byte of a message to peers: its version. Then five a server: part of its id, its level in tenths.
 const PEER_VERSION: u8 = 1;
 /// First pause before asking discovery again, as a share of `ask_within`; doubled with each failure in a row.
@@ -54,6 +65,8 @@
     /// Held to be busy or failing until then.
     shut_until: Time,
     failures: u32,
+    /// When its loads were last weighed.
+    weighed: Time,
     /// When peers last knew that it is busy.
     told: Time,
     /// When it last drowned or failed: what comes back from that is let in slowly too.
@@ -94,6 +107,8 @@
     /// How often waiting requests are looked at; time of a message from which its server is busy.
     wake: Time,
     busy_at: Time,
+    /// When a note of delay last came.
+    last_note: Option<Time>,
     asks_failed: i32,
     started: bool,
     /// First tries a second, and when that was counted.
@@ -160,9 +175,15 @@
             Event::Load(id, load) => {
                 if let Some(live) = self.live.get_mut(id) {
                     live.load = *load;
+                    if let Phase::Standing(server) = live.phase {
+                        self.weigh(now, server, out);
+                    }
                 }
             }
-            Event::Delay(server, delay) => self.noted(now, *server, *delay, out),
+            Event::Delay(server, delay) => {
+                self.last_note = Some(now);
+                self.noted(now, *server, delay / self.busy_at, out);
+            }
             Event::Gone(id) => self.left(*id, out),
             Event::Timer(ASK) => out.push(Action::Watch),
             Event::Timer(WAKE) => {
@@ -210,13 +231,14 @@
             };
             let (held, tokens) = (BTreeSet::new(), (self.random(), now));
             let (level, shut_until) = (0.0, 0.0);
-            let (told, sick) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
+            let (told, sick, weighed) = (f64::NEG_INFINITY, f64::NEG_INFINITY, now);
             let fresh = Server {
                 at,
                 held,
                 level,
                 shut_until,
                 failures: 0,
+                weighed,
                 told,
                 sick,
                 tokens,
@@ -492,9 +514,40 @@
         self.attempt(now, id, out);
     }
 
+    /// The share of its size that a server bears, by the loads that this node sees. The other nodes are held
+    /// to have as many connections there as this one, of the mean load: a group's are spread over all nodes.
+    fn share(&self, now: Time, server: &Server) -> f64 {
+        let standing = |live: &&Live| matches!(live.phase, Phase::Standing(_));
+        let all = self.live.values().filter(standing).map(|live| live.load);
+        let mean = all.sum::<f64>() / f64::from(self.standing.max(1));
+        let here = server.held.iter().filter_map(|id| self.live.get(id));
+        let own: f64 = here.clone().map(|live| live.load).sum();
+        let groups: BTreeSet<Key> = here.filter_map(|live| live.request.group).collect();
+        let others = f64::from(self.config.nodes.saturating_sub(1)) * server.held.len() as f64;
+        let load = own + mean * (others + GROUP_LOAD * groups.len() as f64);
+        load / (UNIT * server.at.weight * self.warmth(now, server))
+    }
+
+    /// Where messages tell nothing of a server's state, the loads of its connections do.
+    fn weigh(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
+        let notes = self.last_note.is_some_and(|note| now < note + NOTES_RULE);
+        let at = self.servers.binary_search_by_key(&id, |s| s.at.id);
+        let Some(server) = at.ok().map(|at| &self.servers[at]) else {
+            return;
+        };
+        if notes || now < server.weighed + WEIGH_EVERY {
+            return;
+        }
+        let share = self.share(now, server) / FULL_FROM;
+        let was_busy = server.level >= 1.0;
+        self.find(id).into_iter().for_each(|s| s.weighed = now);
+        if share >= 1.0 || was_busy {
+            self.noted(now, id, (1.0 + (share - 1.0) * STEEP).max(0.0), out);
+        }
+    }
+
     /// A busy server gets nothing new, peers hear of it, and some connections move down their ranking.
-    fn noted(&mut self, now: Time, id: ServerId, delay: Time, out: &mut Vec<Action>) {
-        let level = delay / self.busy_at;
+    fn noted(&mut self, now: Time, id: ServerId, level: f64, out: &mut Vec<Action>) {
         let (random, chance) = (self.random(), self.random());
         let all = f64::from(self.standing.max(1));
         let (may_tell, servers) = (self.config.may_tell, self.servers.len() as f64);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -502,3 +502,28 @@
         "{placed} of 80 clients in the two seconds after it"
     );
 }
+
+#[test]
+fn where_no_note_comes_loads_tell_that_a_server_is_full_and_a_note_ends_that() {
+    let one = Config {
+        nodes: 1,
+        ..aimed()
+    };
+    let mut node = loaded(one, 1, 5, 10);
+    let home = key_of_first(5);
+    // One heavy connection and nine idle ones: together more than the server's size of 1 can do.
+    let heavy = RequestId(1_000_000);
+    let mut moved = node.give(2.0, Event::Load(heavy, 1_500_000.0));
+    for second in 3..13 {
+        moved.extend(node.give(f64::from(second), Event::Load(heavy, 1_500_000.0)));
+    }
+    assert!(moved.contains(&Action::Move(heavy)), "{moved:?}");
+    assert_ne!(node.place(13.0, home), Some(server(0).id));
+    node.give(14.0, Event::Load(heavy, 1_000.0));
+    // It is let back slowly, as any server that drowned.
+    assert_eq!(node.place(40.0, home), Some(server(0).id));
+    // Where messages do tell, they know better than loads.
+    node.give(41.0, Event::Delay(server(0).id, 0.001));
+    node.give(42.0, Event::Load(heavy, 1_500_000.0));
+    assert_eq!(node.place(42.1, home), Some(server(0).id));
+}
