--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,9 +38,13 @@
 /// What a group costs each server that holds any of it, in mean connections; a unit of size, in loads.
 const GROUP_LOAD: f64 = 3.0;
 const UNIT: f64 = 1e6;
+/// There, a set-up that took this many times the usual shows a server that drowns.
+const SLOW_SETUP: f64 = 2.5;
+/// The usual set-up time is a median: each set-up moves it up or down by this factor.
+const USUAL_STEP: f64 = 1.05;
 /// Loads of a server are weighed this often, and not while notes have come of late: they know better.
 const WEIGH_EVERY: Time = 1.0;
-const NOTES_RULE: Time = 30.0;
+const NOTES_RULE: Time = 300.0;
 /// First byte of a message to peers: its version. Then five a server: part of its id, its level in tenths.
 const PEER_VERSION: u8 = 1;
 /// First pause before asking discovery again, as a share of `ask_within`; doubled with each failure in a row.
@@ -67,6 +71,8 @@
     failures: u32,
     /// When its loads were last weighed.
     weighed: Time,
+    /// When a slow set-up last showed that it drowns.
+    slow: Time,
     /// When peers last knew that it is busy.
     told: Time,
     /// When it last drowned or failed: what comes back from that is let in slowly too.
@@ -109,6 +115,8 @@
     busy_at: Time,
     /// When a note of delay last came.
     last_note: Option<Time>,
+    /// The median time of a set-up here; 0 before the first.
+    usual_setup: Time,
     asks_failed: i32,
     started: bool,
     /// First tries a second, and when that was counted.
@@ -170,7 +178,7 @@
             Event::ListFailed => self.ask_again(out),
             Event::Request(request) => self.accept(now, request, out),
             Event::Open(request, server) => self.open(now, request, *server),
-            Event::Standing(id, server) => self.stand(*id, *server),
+            Event::Standing(id, server) => self.stand(now, *id, *server, out),
             Event::Ended(ended) => self.ended(now, ended, out),
             Event::Load(id, load) => {
                 if let Some(live) = self.live.get_mut(id) {
@@ -231,7 +239,8 @@
             };
             let (held, tokens) = (BTreeSet::new(), (self.random(), now));
             let (level, shut_until) = (0.0, 0.0);
-            let (told, sick, weighed) = (f64::NEG_INFINITY, f64::NEG_INFINITY, now);
+            let (told, sick) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
+            let (slow, weighed) = (f64::NEG_INFINITY, now);
             let fresh = Server {
                 at,
                 held,
@@ -239,6 +248,7 @@
                 shut_until,
                 failures: 0,
                 weighed,
+                slow,
                 told,
                 sick,
                 tokens,
@@ -457,14 +467,28 @@
         }
     }
 
-    fn stand(&mut self, id: RequestId, server: ServerId) {
-        if let Some(live) = self.live.get_mut(&id)
-            && live.phase == Phase::Out(server)
-        {
-            live.phase = Phase::Standing(server);
-            self.standing += 1;
-            self.strain /= 2;
-            self.find(server).into_iter().for_each(|s| s.failures = 0);
+    fn stand(&mut self, now: Time, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
+        let Some(live) = self.live.get_mut(&id) else {
+            return;
+        };
+        if live.phase != Phase::Out(server) {
+            return;
+        }
+        live.phase = Phase::Standing(server);
+        let took = now - live.sent;
+        self.standing += 1;
+        self.strain /= 2;
+        self.find(server).into_iter().for_each(|s| s.failures = 0);
+        let (usual, notes) = (self.usual_setup, self.notes_tell(now));
+        self.usual_setup = match took > usual {
+            _ if usual <= 0.0 => took,
+            true => usual * USUAL_STEP,
+            false => usual / USUAL_STEP,
+        };
+        let slowness = took / (usual * SLOW_SETUP);
+        if usual > 0.0 && slowness >= 1.0 && !notes {
+            self.find(server).into_iter().for_each(|s| s.slow = now);
+            self.noted(now, server, 1.0 + slowness, out);
         }
     }
 
@@ -528,21 +552,27 @@
         load / (UNIT * server.at.weight * self.warmth(now, server))
     }
 
-    /// Where messages tell nothing of a server's state, the loads of its connections do.
+    /// Notes of delay have come of late.
+    fn notes_tell(&self, now: Time) -> bool {
+        self.last_note.is_some_and(|note| now < note + NOTES_RULE)
+    }
+
+    /// Where messages tell nothing of a server's state, the loads of its connections do, and slow set-ups.
     fn weigh(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
-        let notes = self.last_note.is_some_and(|note| now < note + NOTES_RULE);
         let at = self.servers.binary_search_by_key(&id, |s| s.at.id);
         let Some(server) = at.ok().map(|at| &self.servers[at]) else {
             return;
         };
-        if notes || now < server.weighed + WEIGH_EVERY {
+        if self.notes_tell(now) || now < server.weighed + WEIGH_EVERY {
             return;
         }
-        let share = self.share(now, server) / FULL_FROM;
+        let level = 1.0 + (self.share(now, server) / FULL_FROM - 1.0) * STEEP;
+        let slow = now < server.slow + NOTE_LASTS;
+        let level = level.max(if slow { server.level } else { 0.0 });
         let was_busy = server.level >= 1.0;
         self.find(id).into_iter().for_each(|s| s.weighed = now);
-        if share >= 1.0 || was_busy {
-            self.noted(now, id, (1.0 + (share - 1.0) * STEEP).max(0.0), out);
+        if level >= 1.0 || was_busy {
+            self.noted(now, id, level, out);
         }
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -527,3 +527,29 @@
     node.give(42.0, Event::Load(heavy, 1_500_000.0));
     assert_eq!(node.place(42.1, home), Some(server(0).id));
 }
+
+#[test]
+fn where_no_note_comes_a_slow_set_up_shows_a_server_that_drowns() {
+    let one = Config {
+        nodes: 1,
+        ..aimed()
+    };
+    let mut node = loaded(one, 1, 5, 0);
+    let home = key_of_first(5);
+    let set_up = |node: &mut Node, at: Time, took: Time| {
+        let id = node.next_id();
+        let request = Request {
+            key: Some(home),
+            ..Request::new(id, 0, at + 2.0)
+        };
+        let to = node.ask(at, request).expect("a server");
+        node.give(at + took, Event::Standing(id, to));
+        to
+    };
+    // Set-ups differ, and one that is a little slow says nothing.
+    for (i, took) in [0.015, 0.01, 0.02, 0.012, 0.03].into_iter().enumerate() {
+        assert_eq!(set_up(&mut node, i as f64, took), server(0).id);
+    }
+    assert_eq!(set_up(&mut node, 6.0, 0.08), server(0).id);
+    assert_ne!(set_up(&mut node, 7.0, 0.015), server(0).id);
+}
