--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,9 +42,11 @@
 const SLOW_SETUP: f64 = 2.5;
 /// The usual set-up time is a median: each set-up moves it up or down by this factor.
 const USUAL_STEP: f64 = 1.05;
+/// Before so many set-ups none is called slow: the median is not known yet.
+const SETUPS_KNOWN: u32 = 8;
 /// Loads of a server are weighed this often, and not while notes have come of late: they know better.
 const WEIGH_EVERY: Time = 1.0;
-const NOTES_RULE: Time = 300.0;
+const NOTES_RULE: Time = 30.0;
 /// First byte of a message to peers: its version. Then five a server: part of its id, its level in tenths.
 const PEER_VERSION: u8 = 1;
 /// First pause before asking discovery again, as a share of `ask_within`; doubled with each failure in a row.
@@ -115,8 +117,9 @@
     busy_at: Time,
     /// When a note of delay last came.
     last_note: Option<Time>,
-    /// The median time of a set-up here; 0 before the first.
+    /// The median time of a set-up here, 0 before the first, and of how many set-ups.
     usual_setup: Time,
+    setups: u32,
     asks_failed: i32,
     started: bool,
     /// First tries a second, and when that was counted.
@@ -485,8 +488,9 @@
             true => usual * USUAL_STEP,
             false => usual / USUAL_STEP,
         };
+        self.setups = self.setups.saturating_add(1);
         let slowness = took / (usual * SLOW_SETUP);
-        if usual > 0.0 && slowness >= 1.0 && !notes {
+        if self.setups > SETUPS_KNOWN && slowness >= 1.0 && !notes {
             self.find(server).into_iter().for_each(|s| s.slow = now);
             self.noted(now, server, 1.0 + slowness, out);
         }
