Let a left backend go at once; name the key of a bad wait; test the configuration

Seen in review: after MOVE the backend's side stayed open until the client had left, up to 3 s, though PROTOCOL has both sides closed. At fault: leave() in relay.rs ended the client's side only. The story of the silent backend checks it now. Config: a bad hardLimit was named without its part, 'settings'.

--- a/src/config.rs
+++ b/src/config.rs
@@ -126,9 +126,12 @@
         let settings = need_key(raw.settings, "settings")?;
         let settings: Settings =
             serde_json::from_value(settings).map_err(|e| format!("key 'settings': {e}"))?;
-        let waits = settings.classes.iter().flatten();
-        let waits = waits.map(|class| class.hard_limit.unwrap_or(HARD_LIMIT));
-        let longest_wait = sane(waits.fold(0.0, f64::max), "hardLimit")?;
+        let mut longest_wait = 0.0;
+        for class in settings.classes.iter().flatten() {
+            let wait = sane(class.hard_limit.unwrap_or(HARD_LIMIT), "hardLimit")
+                .map_err(|e| format!("key 'settings': {e}"))?;
+            longest_wait = f64::max(longest_wait, wait);
+        }
         let groups = settings.domain.as_ref().and_then(|domain| domain.groups);
         let (config, classes) = settings
             .read()
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -198,7 +198,7 @@
             order = orders.recv() => match order {
                 Some(Order::Move) if !relay.told => {
                     relay.over(Outcome::Cancelled);
-                    leave(&mut down, &mut linger);
+                    leave(&mut down, &backend, &mut linger);
                     up_dead = true;
                 }
                 // The module may have asked to move what has just ended.
@@ -267,7 +267,7 @@
                     // The client can go elsewhere at once; the connection is not coming back.
                     check::count("a backend fell silent");
                     relay.over(Outcome::Reset);
-                    leave(&mut down, &mut linger);
+                    leave(&mut down, &backend, &mut linger);
                     up_dead = true;
                 }
             }
@@ -275,9 +275,11 @@
     }
 }
 
-/// Tells the client to go elsewhere, between two lines, and ends its side.
-fn leave(down: &mut Flow, linger: &mut Option<Instant>) {
+/// Tells the client to go elsewhere, between two lines, and ends both sides: the backend's at once, so that it
+/// does not carry the connection for as long as the client takes to leave.
+fn leave(down: &mut Flow, backend: &TcpStream, linger: &mut Option<Instant>) {
     down.finish_with(b"MOVE\r\n");
+    let _ = SockRef::from(backend).shutdown(Shutdown::Both);
     *linger = Some(Instant::now() + LINGER);
 }
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -139,6 +139,8 @@
         asked.elapsed()
     );
     assert_eq!(client.line(), "");
+    // The backend is let go at once, though this client has not left yet.
+    assert_eq!(server.line(), "");
     // Nothing was asked here, so nothing is missing.
     idle.say("LOAD 3\r\n");
     assert_eq!(quiet.line(), "LOAD 3\r\n");
