Take over the configuration at SIGHUP; the director leaves for the new discovery

Cause: no handler for SIGHUP anywhere; the only signal() call stood in drain.rs, for SIGTERM. Excluded: the director (its old address kept answering until then).

signals.rs now owns both signals. A reload is read and checked whole in config.rs; the file's discovery goes before the environment then. The module takes new settings as an event, which also starts its pauses between failed calls anew.

Story: a_reload_goes_to_the_new_discovery_and_keeps_what_stands fails without the change (the process ends).

--- a/src/api.rs
+++ b/src/api.rs
@@ -264,6 +264,8 @@
     List(ListKind, Arc<[Member]>),
     /// A call to discovery or the subscription failed; the old list stands.
     ListFailed,
+    /// The settings have changed while running, and with them maybe the place of discovery.
+    Settings(Config),
     /// A client asks for a connection: exactly one final answer is owed.
     Request(Request),
     /// A connection is open at the start; its attempt 0 stands at this server.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -157,22 +157,31 @@
 impl Balancer {
     /// A node's balancer at its start. All randomness comes from `seed`.
     pub fn new(config: Config, seed: u64) -> Self {
+        let mut new = Self {
+            random: seed,
+            ..Self::default()
+        };
+        new.settle(&config);
+        new
+    }
+
+    /// Takes settings, at the start or while running.
+    fn settle(&mut self, config: &Config) {
         let aims = config.classes.iter().map(|class| class.aim);
-        let wake = (aims.fold(f64::INFINITY, f64::min) * WAKE_SHARE).clamp(0.01, 1.0);
+        self.wake = (aims.fold(f64::INFINITY, f64::min) * WAKE_SHARE).clamp(0.01, 1.0);
         let aims = config.classes.iter().filter_map(|class| class.message_aim);
-        let busy_at = aims.fold(f64::INFINITY, f64::min) * BUSY_FROM;
-        let random = seed;
-        Self {
-            config,
-            random,
-            wake,
-            busy_at,
-            ..Self::default()
-        }
+        self.busy_at = aims.fold(f64::INFINITY, f64::min) * BUSY_FROM;
+        // What failed at the old discovery must not delay the first calls to a new one.
+        (self.started, self.asks_failed) = (false, 0);
+        self.config = config.clone();
     }
 
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: &Event, out: &mut Vec<Action>) {
+        if let Event::Settings(config) = event {
+            self.settle(config);
+        }
+        // At the start, and again with new settings, which may name another discovery.
         if !std::mem::replace(&mut self.started, true) && self.config.discovery == Discovery::Ask {
             out.push(Action::Watch);
         }
@@ -203,7 +212,7 @@
                 }
             }
             Event::Peer(bytes) => self.heard(now, bytes),
-            Event::Timer(_) => {}
+            Event::Settings(_) | Event::Timer(_) => {}
         }
     }
 
--- a/src/config.rs
+++ b/src/config.rs
@@ -59,7 +59,16 @@
     warm_up: Option<f64>,
 }
 
-/// What a node is told at its start.
+/// When the file is read.
+#[derive(Clone, Copy, PartialEq)]
+pub enum When {
+    /// At the start: the environment goes before the file.
+    Start,
+    /// While running: the environment cannot have changed since, so the file's discovery goes before it.
+    Reload,
+}
+
+/// What a node is told at its start, and again at each reload.
 pub struct Node {
     /// Its name, the same after a restart.
     pub name: String,
@@ -105,23 +114,32 @@
 const HARD_LIMIT: Time = 2.0;
 
 impl Node {
-    /// Reads the file that `BALANCER_CONFIG` names; the other variables, where set, go before it.
-    pub fn from_env() -> Result<Self, String> {
+    /// Reads the file that `BALANCER_CONFIG` names, and the other variables where set.
+    pub fn from_env(when: When) -> Result<Self, String> {
         let var = |key: &str| std::env::var(key).ok().filter(|text| !text.is_empty());
         let path = need_key(var("BALANCER_CONFIG"), "BALANCER_CONFIG")?;
         let text = std::fs::read(&path).map_err(|e| format!("BALANCER_CONFIG: {path}: {e}"))?;
-        Self::parse(&text, var)
+        Self::parse(&text, when, var)
     }
 
     /// Reads the file's text; `var` looks up a variable of the environment.
-    pub fn parse(text: &[u8], var: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+    pub fn parse(
+        text: &[u8],
+        when: When,
+        var: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, String> {
         let raw: RawNode =
             serde_json::from_slice(text).map_err(|e| format!("BALANCER_CONFIG: {e}"))?;
-        let address = |variable: &str, key: &str, value: Option<String>| {
-            let text = need_key(var(variable).or(value), key)?;
+        let address = |key: &str, value: Option<String>| {
+            let text = need_key(value, key)?;
             text.parse::<SocketAddr>()
                 .map_err(|_| format!("key '{key}' is '{text}', not an address with a port"))
         };
+        let listen = var("BALANCER_LISTEN").or(raw.listen);
+        let discovery = match when {
+            When::Start => var("BALANCER_DISCOVERY").or(raw.discovery),
+            When::Reload => raw.discovery.or_else(|| var("BALANCER_DISCOVERY")),
+        };
         let seed = need_key(raw.seed, "seed")?;
         let settings = need_key(raw.settings, "settings")?;
         let settings: Settings =
@@ -138,8 +156,8 @@
             .map_err(|e| format!("key 'settings': {e}"))?;
         Ok(Self {
             name: var("BALANCER_NAME").or(raw.name).unwrap_or_default(),
-            listen: address("BALANCER_LISTEN", "listen", raw.listen)?,
-            discovery: address("BALANCER_DISCOVERY", "discovery", raw.discovery)?,
+            listen: address("listen", listen)?,
+            discovery: address("discovery", discovery)?,
             seed: u64::from_str_radix(&seed, 16)
                 .map_err(|_| format!("key 'seed' is '{seed}', not a hexadecimal number"))?,
             sockets: raw.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS),
@@ -155,6 +173,22 @@
     }
 }
 
+impl Node {
+    /// Takes the place of `running` at a reload: the error names what cannot change while running. A new place
+    /// to listen waits for a restart; the seed and the list as last known matter at a start only.
+    pub fn replace(mut self, running: &Self) -> Result<Self, String> {
+        // Connections that are open keep the place of their class.
+        if !self.classes.starts_with(&running.classes) {
+            return Err("key 'settings': classes can only be added, after the others".into());
+        }
+        if self.listen != running.listen {
+            log::warn!("key 'listen' changes only with a restart");
+            self.listen = running.listen;
+        }
+        Ok(self)
+    }
+}
+
 fn need_key<T>(value: Option<T>, key: &str) -> Result<T, String> {
     value.ok_or_else(|| format!("key '{key}' is missing"))
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,14 +3,16 @@
 
 mod net;
 
-use net::host::{Host, duration};
+use net::host::Host;
+use net::signals::Signals;
 use net::{check, director, drain, req};
 use spanspur::api::ListKind;
-use spanspur::config::Node;
+use spanspur::config::{Node, When};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 
 /// Connections that wait to be accepted: a crowd may come at once.
@@ -20,7 +22,7 @@
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let served = Node::from_env().and_then(|node| {
+    let served = Node::from_env(When::Start).and_then(|node| {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build();
@@ -38,6 +40,7 @@
 }
 
 async fn run(mut node: Node) -> Result<(), String> {
+    let signals = Signals::new().map_err(|e| format!("no signals: {e}"))?;
     let listener = listen(&node).map_err(|e| format!("key 'listen': {}: {e}", node.listen))?;
     log::info!(
         "{} listens on {}, {} servers known",
@@ -45,20 +48,17 @@
         node.listen,
         node.known.members.len()
     );
-    let (known, discovery, wait) = (
-        std::mem::take(&mut node.known),
-        node.discovery,
-        duration(node.longest_wait),
-    );
+    let known = std::mem::take(&mut node.known);
+    let (discovery, watched) = watch::channel(node.discovery);
     let host = Rc::new(Host::new(node));
     // Versions start from 0: only a node that knows no server asks for the whole list.
     let listed = Some(known.revision).filter(|_| !known.members.is_empty());
     host.list(ListKind::Cached, known);
-    spawn_local(director::run(host.clone(), discovery, listed));
+    spawn_local(director::run(host.clone(), watched, listed));
     spawn_local(accept(host.clone(), listener));
-    drain::run(host, wait)
-        .await
-        .map_err(|e| format!("no signals: {e}"))
+    signals.serve(&host, &discovery).await;
+    drain::run(host).await;
+    Ok(())
 }
 
 fn listen(node: &Node) -> std::io::Result<TcpListener> {
@@ -79,7 +79,7 @@
         match listener.accept().await {
             Ok((client, _)) => {
                 // More than the descriptors allow are turned away, so that those here keep theirs.
-                let full = Rc::strong_count(&clients) > host.room;
+                let full = Rc::strong_count(&clients) > host.room();
                 let (host, here) = (host.clone(), clients.clone());
                 spawn_local(async move {
                     if full {
--- a/src/net/delay.rs
+++ b/src/net/delay.rs
@@ -1,6 +1,6 @@
 //! How long messages take at each backend now, from lines and replies.
 
-use spanspur::api::{Event, ServerId, Time};
+use spanspur::api::{Config, Event, ServerId, Time};
 use std::collections::HashMap;
 
 /// While messages there take long, the module hears of it this often.
@@ -18,10 +18,11 @@
 }
 
 impl Delays {
-    /// Takes the shortest aim for a message.
-    pub fn new(shortest_aim: Time) -> Self {
+    /// Takes the shortest aim for a message from the settings.
+    pub fn new(config: &Config) -> Self {
+        let aims = config.classes.iter().filter_map(|class| class.message_aim);
         Self {
-            threshold: shortest_aim / 3.0,
+            threshold: aims.fold(f64::INFINITY, f64::min) / 3.0,
             slow: HashMap::new(),
         }
     }
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -8,7 +8,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
 
 /// How long a call may wait at discovery for something new.
 const WAIT: Duration = Duration::from_secs(10);
@@ -21,44 +22,25 @@
 const PAUSE: Duration = Duration::from_millis(10);
 
 /// Watches whenever the module asks for it, until the watch fails; when to try again is the module's choice.
-pub async fn run(host: Rc<Host>, at: SocketAddr, mut listed: Option<u64>) {
+pub async fn run(
+    host: Rc<Host>,
+    mut discovery: watch::Receiver<SocketAddr>,
+    mut listed: Option<u64>,
+) {
+    let mut at = *discovery.borrow_and_update();
     loop {
         host.watch.notified().await;
-        let mut kept = None;
         loop {
-            let path = match listed {
-                Some(revision) => format!(
-                    "/api/targets?since={revision}&timeout_ms={}",
-                    WAIT.as_millis()
-                ),
-                None => "/api/targets".to_owned(),
-            };
-            let call = timeout(WAIT + SILENCE, call(&mut kept, at, &path)).await;
-            let call = call.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
-            let list = call
-                .map_err(|e| e.to_string())
-                .and_then(|answer| match answer.status {
-                    200 => List::parse(&answer.body),
-                    status => Err(format!("status {status}")),
-                });
-            match list {
-                Ok(list) => {
-                    log::debug!(
-                        "revision {}, complete {}, {} entries",
-                        list.revision,
-                        list.complete,
-                        list.members.len()
-                    );
-                    listed = Some(list.revision);
-                    let kind = if list.complete {
-                        ListKind::Full
-                    } else {
-                        ListKind::Delta
-                    };
-                    host.list(kind, list);
-                    tokio::time::sleep(PAUSE).await;
-                }
-                Err(what) => {
+            // Another discovery counts its versions as it likes: it is asked for everything first.
+            let place = *discovery.borrow_and_update();
+            if std::mem::replace(&mut at, place) != place {
+                listed = None;
+            }
+            tokio::select! {
+                biased;
+                // The running watch is left at once: its discovery may fall silent or tell old news.
+                Ok(()) = discovery.changed() => {}
+                what = follow(&host, at, &mut listed) => {
                     log::info!("the watch on discovery ends: {what}");
                     host.event(Event::ListFailed);
                     break;
@@ -68,6 +50,47 @@
     }
 }
 
+/// Takes list after list, until a call fails: says why.
+async fn follow(host: &Rc<Host>, at: SocketAddr, listed: &mut Option<u64>) -> String {
+    let mut kept = None;
+    loop {
+        let (path, wait) = match listed {
+            Some(revision) => {
+                let wait = WAIT.as_millis();
+                let path = format!("/api/targets?since={revision}&timeout_ms={wait}");
+                (path, WAIT)
+            }
+            None => ("/api/targets".to_owned(), Duration::ZERO),
+        };
+        let call = timeout(wait + SILENCE, call(&mut kept, at, &path)).await;
+        let call = call.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+        let list = call
+            .map_err(|e| e.to_string())
+            .and_then(|answer| match answer.status {
+                200 => List::parse(&answer.body),
+                status => Err(format!("status {status}")),
+            });
+        let list = match list {
+            Ok(list) => list,
+            Err(what) => return what,
+        };
+        log::debug!(
+            "revision {}, complete {}, {} entries",
+            list.revision,
+            list.complete,
+            list.members.len()
+        );
+        *listed = Some(list.revision);
+        let kind = if list.complete {
+            ListKind::Full
+        } else {
+            ListKind::Delta
+        };
+        host.list(kind, list);
+        sleep(PAUSE).await;
+    }
+}
+
 /// One call, on the kept connection if there is one.
 async fn call(kept: &mut Option<Connection>, at: SocketAddr, path: &str) -> io::Result<Response> {
     let mut connection = match kept.take() {
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -1,10 +1,9 @@
 //! SIGTERM: serve what still arrives, answer all, move every standing connection, and leave.
 
 use super::check;
-use super::host::{Host, Order};
+use super::host::{Host, Order, duration};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{Instant, sleep};
 
 /// New connections arrive for up to 0.4 s more; a client moved before that could come back here.
@@ -20,9 +19,9 @@
 /// How often the rest is looked at.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Waits for SIGTERM; returns when the process may exit.
-pub async fn run(host: Rc<Host>, longest_wait: Duration) -> std::io::Result<()> {
-    signal(SignalKind::terminate())?.recv().await;
+/// Empties the process; returns when it may exit.
+pub async fn run(host: Rc<Host>) {
+    let longest_wait = duration(host.node().longest_wait);
     host.leaving.set(true);
     log::info!("told to stop: {} connections stand", host.reqs(true).len());
     let start = Instant::now();
@@ -62,5 +61,4 @@
     if left > 0 {
         check::count("connections that stood at the exit");
     }
-    Ok(())
 }
--- a/src/net/fetch.rs
+++ b/src/net/fetch.rs
@@ -39,7 +39,7 @@
         return Err(Outcome::Moot);
     };
     let end = host.instant(until);
-    let up_by = end.min(tokio::time::Instant::now() + host.connect_timeout);
+    let up_by = end.min(tokio::time::Instant::now() + duration(host.node().config.connect_timeout));
     let connecting = timeout_at(up_by, TcpStream::connect(address)).await;
     let Ok(Ok(mut stream)) = connecting else {
         return Err(Outcome::ConnectFailed);
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -51,14 +51,7 @@
     pub watch: Notify,
     /// The process is told to stop.
     pub leaving: Cell<bool>,
-    /// The classes' names, for the clients' first lines.
-    pub classes: Vec<String>,
-    /// Connections belong to groups.
-    pub groups: bool,
-    /// A connection that is not up by then has failed.
-    pub connect_timeout: Duration,
-    /// The most connections that clients may have here at once.
-    pub room: usize,
+    node: RefCell<Rc<Node>>,
 }
 
 /// A req's place at the host; dropped, it is gone there.
@@ -80,28 +73,40 @@
     /// The host of a node, not yet told of any server.
     pub fn new(node: Node) -> Self {
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-        let aims = node.config.classes.iter().filter_map(|c| c.message_aim);
-        let delays = Delays::new(aims.fold(f64::INFINITY, f64::min));
-        let connect_timeout = duration(node.config.connect_timeout);
         let state = State {
-            balancer: Balancer::new(node.config, node.seed),
+            balancer: Balancer::new(node.config.clone(), node.seed),
             actions: Vec::new(),
             addresses: HashMap::new(),
             inboxes: HashMap::new(),
-            delays,
+            delays: Delays::new(&node.config),
         };
         Self {
             state: RefCell::new(state),
             anchor: (Instant::now(), unix.unwrap_or_default().as_secs_f64()),
             watch: Notify::new(),
             leaving: Cell::new(false),
-            classes: node.classes,
-            groups: node.groups,
-            connect_timeout,
-            room: (node.sockets.saturating_sub(SPARE_SOCKETS) / 2).max(1),
+            node: RefCell::new(Rc::new(node)),
         }
     }
 
+    /// What is configured now.
+    pub fn node(&self) -> Rc<Node> {
+        self.node.borrow().clone()
+    }
+
+    /// Takes over what is configured anew.
+    pub fn configure(self: &Rc<Self>, node: Node) {
+        let config = node.config.clone();
+        self.state.borrow_mut().delays = Delays::new(&config);
+        self.node.replace(Rc::new(node));
+        self.event(Event::Settings(config));
+    }
+
+    /// The most connections that clients may have here at once.
+    pub fn room(&self) -> usize {
+        (self.node.borrow().sockets.saturating_sub(SPARE_SOCKETS) / 2).max(1)
+    }
+
     /// The time now, on a clock that never goes back.
     pub fn now(&self) -> Time {
         self.anchor.1 + self.anchor.0.elapsed().as_secs_f64()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,3 +10,4 @@
 pub mod line;
 pub mod relay;
 pub mod req;
+pub mod signals;
--- a/src/net/req.rs
+++ b/src/net/req.rs
@@ -44,7 +44,8 @@
             }
             continue;
         }
-        return match Opening::parse(&line, &host.classes, host.groups) {
+        let node = host.node();
+        return match Opening::parse(&line, &node.classes, node.groups) {
             Ok(opening) => open(host, client, lines, opening).await,
             Err(what) => refuse_line(&client, what).await,
         };
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -168,7 +168,7 @@
     let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
     let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
     let (mut client, _server) = balancer.standing(0x21, &backend);
-    balancer.terminate();
+    balancer.signal("-TERM");
     let (mut late, _late_server) = balancer.standing(0x22, &backend);
     for client in [&mut client, &mut late] {
         assert_eq!(
@@ -179,3 +179,31 @@
     drop((client, late));
     assert_eq!(balancer.exit(), Some(0));
 }
+
+#[test]
+fn a_reload_goes_to_the_new_discovery_and_keeps_what_stands() {
+    let (old, new) = (Discovery::new(), Discovery::new());
+    let (one, two) = (Backend::new("s-1"), Backend::new("s-2"));
+    let balancer = Balancer::start(&old, &[one.entry("SERVING")]);
+    let (mut client, mut server) = balancer.standing(0x31, &one);
+    // A wrong file changes nothing.
+    balancer.reload("nowhere");
+    let mut waiting = balancer.open(0x32, 2000);
+    let (mut asked, _) = one.accept();
+    old.wait_for_calls(1);
+    // The running watch is left though its discovery never answers; what the new list lacks is gone.
+    new.tell(1, true, &[two.entry("SERVING")]);
+    balancer.reload(&new.address.to_string());
+    new.wait_for_calls(2);
+    let calls = new.calls.lock().expect("whole").clone();
+    assert!(calls[0].starts_with("GET /api/targets HTTP"), "{calls:?}");
+    balancer.standing(0x33, &two);
+    asked.say("UP r2\r\n");
+    assert_eq!(waiting.line(), "UP r2\r\n");
+    client.say("M 1\r\n");
+    assert_eq!(server.line(), "M 1\r\n");
+    balancer.signal("-TERM");
+    assert_eq!(client.line(), "MOVE\r\n");
+    drop((client, waiting));
+    assert_eq!(balancer.exit(), Some(0));
+}
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -160,7 +160,7 @@
 pub struct Balancer {
     child: Child,
     address: SocketAddr,
-    _folder: Folder,
+    folder: Folder,
 }
 
 struct Folder(std::path::PathBuf);
@@ -191,26 +191,18 @@
         let folder = std::env::temp_dir().join(format!("spanspur-{}-{story}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let config = folder.join("config.json");
-        let settings = r#"{"balancers":1,"zone":"a","membershipMode":"on_request",
-            "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
-            "domain":{"groups":true,"messageAim":[0.25]},
-            "limits":{"maxAttempts":3,"connectTimeout":0.25,"cancel":true},"rules":{"askWithin":1.0}}"#;
-        let text = format!(
-            r#"{{"name":"n0","listen":"{address}","discovery":"{}","seed":"7","limits":{{"sockets":256}},
-            "known":{},"settings":{settings}}}"#,
-            discovery.address,
-            list(1, true, known)
-        );
-        std::fs::write(&config, text).expect("written");
+        let folder = Folder(folder);
+        write_config(&folder, address, &discovery.address.to_string(), known);
         let child = Command::new(env!("CARGO_BIN_EXE_spanspur"))
             .env("BALANCER_CONFIG", &config)
+            .env("BALANCER_DISCOVERY", discovery.address.to_string())
             .stderr(Stdio::null())
             .spawn()
             .expect("the program starts");
         let balancer = Self {
             child,
             address,
-            _folder: Folder(folder),
+            folder,
         };
         wait_until(|| TcpStream::connect(address).is_ok());
         let mut front = balancer.connect();
@@ -239,11 +231,17 @@
         (client, server)
     }
 
-    pub fn terminate(&self) {
+    /// Has it read its configuration again, with discovery there.
+    pub fn reload(&self, discovery: &str) {
+        write_config(&self.folder, self.address, discovery, &[]);
+        self.signal("-HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(
             Command::new("kill")
-                .args(["-TERM", &pid])
+                .args([name, &pid])
                 .status()
                 .is_ok_and(|s| s.success())
         );
@@ -260,6 +258,19 @@
     }
 }
 
+fn write_config(folder: &Folder, listen: SocketAddr, discovery: &str, known: &[String]) {
+    let settings = r#"{"balancers":1,"zone":"a","membershipMode":"on_request",
+        "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
+        "domain":{"groups":true,"messageAim":[0.25]},
+        "limits":{"maxAttempts":3,"connectTimeout":0.25,"cancel":true},"rules":{"askWithin":1.0}}"#;
+    let known = list(1, true, known);
+    let text = format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"7",
+        "limits":{{"sockets":256}},"known":{known},"settings":{settings}}}"#
+    );
+    std::fs::write(folder.0.join("config.json"), text).expect("written");
+}
+
 /// Reads until the stream ends.
 pub fn rest(mut peer: Peer) -> String {
     let mut text = String::new();
