Take the break of a server's connections as one failure, and set-ups as messages

Later all clients of a balancer that stopped came to the other one: set-ups took 50 ms instead of 20, counted as drowning (2.5 times the usual), and the loads, doubled for a peer that held none, said the same; for 8 s nothing was sent and up to 87 clients a second were refused, at 40% of the fleet's capacity. Excluded: message times (all replies within 0.7 ms, at every backend), the list (told in time), descriptors.

Lines at fault in choice.rs: ended() counted each connection's end as a failure of its own; stand() measured a set-up against the usual one instead of against what a message may take; weigh() let a guess reach the drowning level.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,11 +35,11 @@
 const FULL_FROM: f64 = 0.6;
 /// How much steeper than the share the level rises from there.
 const STEEP: f64 = 2.0;
+/// A guess alone holds no server to be drowning: that would turn clients away from servers with room.
+const GUESSED: f64 = 0.95;
 /// What a group costs each server that holds any of it, in mean connections; a unit of size, in loads.
 const GROUP_LOAD: f64 = 3.0;
 const UNIT: f64 = 1e6;
-/// There, a set-up that took this many times the usual shows a server that drowns.
-const SLOW_SETUP: f64 = 2.5;
 /// The usual set-up time is a median: each set-up moves it up or down by this factor.
 const USUAL_STEP: f64 = 1.05;
 /// Before so many set-ups none is called slow: the median is not known yet.
@@ -498,10 +498,10 @@
             false => usual / USUAL_STEP,
         };
         self.setups = self.setups.saturating_add(1);
-        let slowness = took / (usual * SLOW_SETUP);
-        if self.setups > SETUPS_KNOWN && slowness >= 1.0 && !notes {
+        let level = (took - usual) / self.busy_at;
+        if self.setups > SETUPS_KNOWN && level >= 1.0 && !notes {
             self.find(server).into_iter().for_each(|s| s.slow = now);
-            self.noted(now, server, 1.0 + slowness, out);
+            self.noted(now, server, level, out);
         }
     }
 
@@ -515,27 +515,24 @@
         if !ended.settled && phase != Phase::Out(to) && phase != Phase::Standing(to) {
             return;
         }
-        // Retries that come at once keep a failed store or a drowned fleet down: send slower the more fail.
-        if matches!(
-            how,
-            Outcome::Error | Outcome::Timeout | Outcome::Full | Outcome::Reset
-        ) {
-            self.strain = (self.strain + 1).min(MAX_GAP);
-        }
+        let strained = matches!(how, Outcome::Full | Outcome::Timeout | Outcome::Reset);
         let first_pause = FAIL_PAUSE * self.config.connect_timeout;
-        let (mut zone, mut cell) = (0, 0);
+        let (mut zone, mut cell, mut news) = (0, 0, true);
         if let Some(server) = self.find(to) {
             (zone, cell) = (server.at.zone, server.at.cell);
-            // A server that fails, refuses or drops connections is left alone for a while.
-            if matches!(
-                how,
-                Outcome::Full | Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset
-            ) {
+            // A server that fails, refuses or drops connections is left alone for a while. What ends there
+            // meanwhile began before: one that breaks all its connections at once has failed once.
+            news = server.failures == 0 || now >= server.shut_until;
+            if news && (strained || how == Outcome::ConnectFailed) {
                 let pause = first_pause * f64::from(1 << server.failures.min(5));
                 server.shut_until = server.shut_until.max(now + pause);
                 (server.failures, server.sick) = (server.failures + 1, now);
             }
         }
+        // Retries that come at once keep a failed store or a drowned fleet down: send slower the more fail.
+        if news && (strained || how == Outcome::Error) {
+            self.strain = (self.strain + 1).min(MAX_GAP);
+        }
         if ended.settled {
             self.forget(id);
             return;
@@ -580,6 +577,7 @@
             return;
         }
         let level = 1.0 + (self.share(now, server) / FULL_FROM - 1.0) * STEEP;
+        let level = level.min(DROWNING * GUESSED);
         let slow = now < server.slow + NOTE_LASTS;
         let level = level.max(if slow { server.level } else { 0.0 });
         let was_busy = server.level >= 1.0;
