Let silent clients give way; read first lines strictly and within one deadline

PING came 139 times in one second on few connections, each answered. An id that is open at another balancer went to all five backends, each answered ERR, and five errors raised the strain that holds back everybody's sends. Excluded: the placement (set-ups at 10 to 40 ms, no resets), CPU (0.03 s in the worst second).

Lines at fault: accept() in main.rs counted silent and standing alike, two descriptors each; serve() in req.rs gave each line 10 s and kept what came after it; parse() in line.rs passed an unknown class on; open() let 'd' and 'at=' hold a client for up to 10 minutes; first_answer() took garbage for the request's error.

room.rs now counts descriptors, and the silent client that came first gives way when they run out. Two servers that answer a request with ERR end it; garbage counts against the backend.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,6 +20,8 @@
 const NEWS_LASTS: Time = 4.0;
 /// First pause for a server that failed, in connect time-outs; doubled with each failure in a row.
 const FAIL_PAUSE: f64 = 2.0;
+/// Where so many servers answer a request with an error, the request is at fault: no other one is tried.
+const ERRORS: u32 = 2;
 /// Share of this node's connections at a drowning server that is moved away each second.
 const MOVE_RATE: f64 = 0.12;
 /// Share of the fall budget that is used; the rest is for chance and for what other nodes misjudge.
@@ -102,6 +104,8 @@
     maybe_ran: Option<(Time, u32, u32)>,
     /// Load as last noted, else as hinted, else 0.
     load: f64,
+    /// Servers that answered with an error.
+    errors: u32,
 }
 
 /// The decisions of one node.
@@ -249,21 +253,17 @@
                 started: entry.started.min(now),
                 ..*entry
             };
-            let (held, tokens) = (BTreeSet::new(), (self.random(), now));
-            let (level, shut_until) = (0.0, 0.0);
-            let (told, sick) = (f64::NEG_INFINITY, f64::NEG_INFINITY);
-            let (slow, weighed) = (f64::NEG_INFINITY, now);
             let fresh = Server {
                 at,
-                held,
-                level,
-                shut_until,
+                held: BTreeSet::new(),
+                level: 0.0,
+                shut_until: 0.0,
                 failures: 0,
-                weighed,
-                slow,
-                told,
-                sick,
-                tokens,
+                weighed: now,
+                slow: f64::NEG_INFINITY,
+                told: f64::NEG_INFINITY,
+                sick: f64::NEG_INFINITY,
+                tokens: (self.random(), now),
             };
             match self.servers.binary_search_by_key(&at.id, |s| s.at.id) {
                 Err(place) => self.servers.insert(place, fresh),
@@ -544,6 +544,11 @@
             if !never_ran && live.maybe_ran.is_none() {
                 live.maybe_ran = Some((sent, zone, cell));
             }
+            live.errors += u32::from(how == Outcome::Error);
+            if live.errors >= ERRORS {
+                self.forget(id);
+                return out.push(Action::Fail(id));
+            }
         }
         self.attempt(now, id, out);
     }
@@ -664,6 +669,7 @@
             sent: now,
             maybe_ran: None,
             load,
+            errors: 0,
         }
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod net;
 
 use net::host::Host;
+use net::room::Room;
 use net::signals::Signals;
 use net::{check, director, drain, req};
 use spanspur::api::ListKind;
@@ -74,22 +75,16 @@
 }
 
 async fn accept(host: Rc<Host>, listener: TcpListener) {
-    let clients = Rc::new(());
+    let room = Rc::new(Room::default());
     loop {
         match listener.accept().await {
             Ok((client, _)) => {
-                // More than the descriptors allow are turned away, so that those here keep theirs.
-                let full = Rc::strong_count(&clients) > host.room();
-                let (host, here) = (host.clone(), clients.clone());
-                spawn_local(async move {
-                    if full {
-                        check::count("a client is turned away for want of descriptors");
-                        req::refuse(&client, 0).await;
-                    } else {
-                        req::serve(host, client).await;
-                    }
-                    drop(here);
-                });
+                match room.enter(host.node().sockets) {
+                    Some(place) => drop(spawn_local(req::serve(host.clone(), client, place))),
+                    None => req::turn_away(&client),
+                }
+                // In a crowd, those that give way for the next have to be gone before it is accepted.
+                tokio::task::yield_now().await;
             }
             Err(e) => {
                 check::count("accepting failed");
--- a/src/net/fetch.rs
+++ b/src/net/fetch.rs
@@ -65,7 +65,6 @@
                 rest: lines.rest(),
             })
         }
-        Ok(Err(e)) if e.kind() == std::io::ErrorKind::Other => Err(Outcome::Error),
         Ok(_) => Err(Outcome::Reset),
     }
 }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -66,9 +66,6 @@
     }
 }
 
-/// Descriptors kept for what is not a client's or its backend's.
-const SPARE_SOCKETS: usize = 48;
-
 impl Host {
     /// The host of a node, not yet told of any server.
     pub fn new(node: Node) -> Self {
@@ -102,11 +99,6 @@
         self.event(Event::Settings(config));
     }
 
-    /// The most connections that clients may have here at once.
-    pub fn room(&self) -> usize {
-        (self.node.borrow().sockets.saturating_sub(SPARE_SOCKETS) / 2).max(1)
-    }
-
     /// The time now, on a clock that never goes back.
     pub fn now(&self) -> Time {
         self.anchor.1 + self.anchor.0.elapsed().as_secs_f64()
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Nothing came after the lines taken.
+    pub fn is_empty(&self) -> bool {
+        self.buf.is_empty()
+    }
+
     /// What came after the lines taken.
     pub fn rest(self) -> Vec<u8> {
         self.buf
@@ -100,15 +105,12 @@
                 return Err("a field is empty");
             }
             let twice = match name {
-                // A class that the settings lack has no place there: the module refuses it.
-                "c" => class
-                    .replace(
-                        classes
-                            .iter()
-                            .position(|c| c == value)
-                            .unwrap_or(classes.len()),
-                    )
-                    .is_some(),
+                "c" => {
+                    let place = classes.iter().position(|c| c == value);
+                    class
+                        .replace(place.ok_or("the class is unknown")?)
+                        .is_some()
+                }
                 "d" => {
                     let digits = value.bytes().all(|b| b.is_ascii_digit());
                     let ms = value.parse::<u64>().ok().filter(|_| digits);
@@ -157,7 +159,9 @@
         "UP" => Ok(()),
         "BUSY" => Err(Outcome::Full),
         "MOVE" => Err(Outcome::Cancelled),
-        _ => Err(Outcome::Error),
+        "ERR" => Err(Outcome::Error),
+        // It is the backend that is broken here, not the request.
+        _ => Err(Outcome::Reset),
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,4 +10,5 @@
 pub mod line;
 pub mod relay;
 pub mod req;
+pub mod room;
 pub mod signals;
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -159,13 +159,11 @@
     told: bool,
 }
 
-/// Passes lines between a client and its backend until the connection is over; `ahead` is what the client
-/// has sent before its turn.
+/// Passes lines between a client and its backend until the connection is over.
 pub async fn relay(
     host: Rc<Host>,
     (id, server, attempt): (RequestId, ServerId, u32),
     client: TcpStream,
-    ahead: Vec<u8>,
     backend: Backend,
     mut orders: UnboundedReceiver<Order>,
 ) {
@@ -181,10 +179,9 @@
         last_word: None,
         told: false,
     };
-    let mut up = Flow::new(ahead);
+    let mut up = Flow::new(Vec::new());
     let mut down = Flow::new([backend.answer.as_bytes(), b"\r\n", &backend.rest].concat());
     let backend = backend.stream;
-    relay.pending_asks = up.fresh().len();
     // The first line is the answer, not a reply to a line.
     let lines = down.fresh();
     relay.backend_said(&down.buf, &lines, 1);
@@ -286,9 +283,9 @@
 /// Reads and drops until the end: closing with unread bytes would turn the end into a reset and could take
 /// the last line with it.
 pub async fn discard(stream: &TcpStream) {
-    let mut chunk = [0; 1024];
     while stream.readable().await.is_ok() {
-        match stream.try_read(&mut chunk) {
+        // Large, for whoever sends on and on, and not kept while waiting.
+        match stream.try_read(&mut [0; 16 * 1024]) {
             Ok(0) => return,
             Ok(_) => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
--- a/src/net/req.rs
+++ b/src/net/req.rs
@@ -2,91 +2,158 @@
 
 use super::check;
 use super::fetch::{Backend, Kind, fetch};
-use super::host::{Host, Order};
+use super::host::{Host, Order, Ticket};
 use super::line::{Lines, Opening};
 use super::relay::{relay, say_last};
-use spanspur::api::{Ended, Event, Outcome, ServerId, Time};
+use super::room::Place;
+use socket2::SockRef;
+use spanspur::api::{Ended, Event, Outcome, RequestId, ServerId, Time};
+use std::io::ErrorKind;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, sleep_until, timeout};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-/// A client that says nothing is let go after this.
-const FIRST_LINE: Duration = Duration::from_secs(10);
+/// A client says what it wants within this time from its coming, however it spreads its words.
+const FIRST_LINE: Duration = Duration::from_secs(2);
+/// A front that has asked may ask again within this.
+const FRONT: Duration = Duration::from_secs(10);
 /// The client's wait runs from its sending: the line's way here and the answer's way back come off.
 const MARGIN: Time = 0.02;
 /// How often a start that is not complete is looked at again.
 const NOT_READY: Duration = Duration::from_millis(20);
 /// Pause before an open connection is asked for again at its own backend.
 const AGAIN: Duration = Duration::from_millis(100);
+/// A connection that is open at a backend already is given up after this.
+const REOPEN: Time = 40.0;
+/// A server that the list does not name by then is not coming.
+const UNLISTED: Time = 1.0;
+/// Without a time to come again.
+const BUSY: &str = "BUSY\r\n";
 
 /// Serves one connection of a client, to its end.
-pub async fn serve(host: Rc<Host>, client: TcpStream) {
-    let mut lines = Lines::default();
+pub async fn serve(host: Rc<Host>, client: TcpStream, mut place: Place) {
     // Lines are short and waited for: none is held back for more to come.
     let _ = client.set_nodelay(true);
-    loop {
-        let line = match timeout(FIRST_LINE, lines.next(&client)).await {
-            Ok(Ok(Some(line))) => line,
-            Ok(Err(e)) if e.kind() == std::io::ErrorKind::Other => {
-                return refuse_line(&client, &e.to_string()).await;
-            }
-            _ => return,
-        };
-        if line == "PING" {
-            // The front sends clients from the answer on, so it has to wait until a server is known.
-            while !host.ready() {
-                sleep(NOT_READY).await;
-            }
-            if client.try_write(b"PONG\r\n").is_err() {
-                return;
+    let first = tokio::select! {
+        first = first_line(&host, &client) => first,
+        () = place.evicted() => return turn_away(&client),
+    };
+    let opened = match first {
+        None => return,
+        Some(Ok(opening)) => {
+            if !place.serve(host.node().sockets) {
+                return turn_away(&client);
             }
-            continue;
+            open(&host, &client, opening).await
         }
-        let node = host.node();
-        return match Opening::parse(&line, &node.classes, node.groups) {
-            Ok(opening) => open(host, client, lines, opening).await,
-            Err(what) => refuse_line(&client, what).await,
-        };
+        Some(Err(what)) => unread(what),
+    };
+    let answer = match opened {
+        Opened::Left => return,
+        Opened::Stands(ticket, ids, backend, orders) => {
+            relay(host, ids, client, backend, orders).await;
+            return drop(ticket);
+        }
+        Opened::Answer(line) => line,
+    };
+    // What is left is the client's to end.
+    place.idle();
+    tokio::select! {
+        () = say_last(&client, answer.as_bytes()) => {}
+        () = place.evicted() => {}
     }
 }
 
+/// What comes of a first line.
+enum Opened {
+    Stands(
+        Ticket,
+        (RequestId, ServerId, u32),
+        Backend,
+        UnboundedReceiver<Order>,
+    ),
+    /// Synthetic answer.
+    Answer(String),
+    /// The client has gone, and nothing is owed.
+    Left,
+}
+
+fn failed() -> Opened {
+    Opened::Answer("ERR\r\n".to_owned())
+}
+
+/// Come again, in so many milliseconds if there are any.
+fn refused(ms: u64) -> Opened {
+    Opened::Answer(match ms {
+        0 => BUSY.to_owned(),
+        ms => format!("BUSY {ms}\r\n"),
+    })
+}
+
 /// A first line that cannot be read costs this connection and nothing else.
-async fn refuse_line(client: &TcpStream, what: &str) {
+fn unread(what: &str) -> Opened {
     check::count("a client's first line cannot be read");
     log::debug!("first line: {what}");
-    say_last(client, b"ERR\r\n").await;
+    failed()
 }
 
-/// A synthetic answer: come again, in so many milliseconds if there are any.
-pub async fn refuse(client: &TcpStream, ms: u64) {
-    let line = if ms > 0 {
-        format!("BUSY {ms}\r\n")
-    } else {
-        "BUSY\r\n".to_owned()
-    };
-    say_last(client, line.as_bytes()).await;
+/// Turns a client away for want of room, and is done with it at once.
+pub fn turn_away(client: &TcpStream) {
+    check::count("a client is turned away for want of descriptors");
+    let _ = SockRef::from(client).send(BUSY.as_bytes());
+}
+
+/// The first line that asks for a connection; `None` if the client ends, or says too little in its time. All that
+/// a client sends before its answer has to be one line: who sends more does not speak this protocol.
+async fn first_line(host: &Host, client: &TcpStream) -> Option<Result<Opening, &'static str>> {
+    let mut lines = Lines::default();
+    let mut end = Instant::now() + FIRST_LINE;
+    loop {
+        let line = match timeout_at(end, lines.next(client)).await {
+            Ok(Ok(Some(line))) if lines.is_empty() => line,
+            Ok(Ok(Some(_))) => return Some(Err("more than one line")),
+            Ok(Err(e)) if e.kind() == ErrorKind::Other => return Some(Err("not a line of text")),
+            _ => return None,
+        };
+        if line != "PING" {
+            let node = host.node();
+            return Some(Opening::parse(&line, &node.classes, node.groups));
+        }
+        // The front sends clients from the answer on, so it has to wait until a server is known.
+        while !host.ready() {
+            sleep(NOT_READY).await;
+        }
+        client.try_write(b"PONG\r\n").ok()?;
+        end = Instant::now() + FRONT;
+    }
 }
 
-async fn open(host: Rc<Host>, client: TcpStream, mut lines: Lines, mut opening: Opening) {
+async fn open(host: &Rc<Host>, client: &TcpStream, mut opening: Opening) -> Opened {
+    // Nobody is kept longer than its class waits, whatever it says; an open connection has longer.
+    let longest = match opening.at {
+        Some(_) => REOPEN,
+        None => host.node().longest_wait,
+    };
     let request = &mut opening.request;
-    request.due = host.now() + opening.wait - MARGIN;
+    request.due = host.now() + opening.wait.min(longest) - MARGIN;
     let (id, due) = (request.id, request.due);
-    let Some((_ticket, mut orders)) = host.enter(id) else {
-        return refuse_line(&client, "the id is in use").await;
+    let Some((ticket, mut orders)) = host.enter(id) else {
+        return unread("the id is in use");
     };
     if let Some(server) = opening.at {
         let backend = tokio::select! {
-            backend = reopen(&host, &opening, server) => backend,
-            () = client_ends(&mut lines, &client) => return,
+            backend = reopen(host, &opening, server) => backend,
+            early = speaks(client) => return early,
         };
         let Some(backend) = backend else {
-            return say_last(&client, b"ERR\r\n").await;
+            return failed();
         };
         host.event(Event::Open(opening.request, server));
         host.stands(id);
-        return relay(host, (id, server, 0), client, lines.rest(), backend, orders).await;
+        return Opened::Stands(ticket, (id, server, 0), backend, orders);
     }
     host.event(Event::Request(opening.request));
     let mut attempt = 0;
@@ -95,7 +162,10 @@
     loop {
         let order = tokio::select! {
             order = orders.recv() => order,
-            () = client_ends(&mut lines, &client) => return host.event(Event::Gone(id)),
+            early = speaks(client) => {
+                host.event(Event::Gone(id));
+                return early;
+            }
             () = &mut overdue => {
                 check::holds(false, "the module answers before the deadline");
                 host.event(Event::Gone(id));
@@ -104,20 +174,23 @@
         };
         let (server, until) = match order {
             Some(Order::Send(server, until)) => (server, until),
-            Some(Order::Refuse(ms)) => return refuse(&client, ms).await,
-            Some(Order::Fail) => return say_last(&client, b"ERR\r\n").await,
+            Some(Order::Refuse(ms)) => return refused(ms),
+            Some(Order::Fail) => return failed(),
             // What has been called off or moved is over already.
             Some(Order::Cancel(_) | Order::Move) => continue,
-            None => return,
+            None => return Opened::Left,
         };
         // Leaving this select closes the attempt's connection, whatever it was doing.
         let ended = tokio::select! {
-            ended = fetch(&host, server, Kind::New, until.min(due), |ms| opening.for_backend(ms)) => ended,
-            () = client_ends(&mut lines, &client) => return host.event(Event::Gone(id)),
+            ended = fetch(host, server, Kind::New, until.min(due), |ms| opening.for_backend(ms)) => ended,
+            early = speaks(client) => {
+                host.event(Event::Gone(id));
+                return early;
+            }
             order = called_off(&mut orders, attempt) => match order {
                 Some(Order::Refuse(ms)) => {
                     host.event(Event::Gone(id));
-                    return refuse(&client, ms).await;
+                    return refused(ms);
                 }
                 _ => Err(Outcome::Cancelled),
             },
@@ -127,15 +200,7 @@
                 log::debug!("{id:?} stands at {server:?}");
                 host.event(Event::Standing(id, server));
                 host.stands(id);
-                return relay(
-                    host,
-                    (id, server, attempt),
-                    client,
-                    lines.rest(),
-                    backend,
-                    orders,
-                )
-                .await;
+                return Opened::Stands(ticket, (id, server, attempt), backend, orders);
             }
             Err(outcome) => {
                 log::debug!("{id:?} attempt {attempt} at {server:?}: {outcome:?}");
@@ -153,10 +218,7 @@
 }
 
 /// Waits for an order that ends the attempt that is out: it is called off, or the process leaves.
-async fn called_off(
-    orders: &mut tokio::sync::mpsc::UnboundedReceiver<Order>,
-    attempt: u32,
-) -> Option<Order> {
+async fn called_off(orders: &mut UnboundedReceiver<Order>, attempt: u32) -> Option<Order> {
     loop {
         match orders.recv().await {
             Some(Order::Cancel(n)) if n != attempt => {}
@@ -170,23 +232,32 @@
     }
 }
 
-/// Waits until the client ends or breaks its side, or sends more than it may before its turn.
-async fn client_ends(lines: &mut Lines, client: &TcpStream) {
-    while let Ok(true) = lines.fill(client).await {}
+/// Waits until the client ends or breaks its side, or speaks before its turn.
+async fn speaks(client: &TcpStream) -> Opened {
+    match Lines::default().fill(client).await {
+        Ok(true) => unread("more before the answer"),
+        _ => Opened::Left,
+    }
 }
 
 /// Opens a connection again at the backend that it is open at: no decision, so no outcome for the module.
 async fn reopen(host: &Host, opening: &Opening, server: ServerId) -> Option<Backend> {
     let due = opening.request.due;
+    let listed_by = host.now() + UNLISTED;
     loop {
-        match fetch(host, server, Kind::Again, due, |ms| opening.for_backend(ms)).await {
-            Ok(backend) => return Some(backend),
-            Err(outcome) => log::warn!(
-                "{:?} is not open at {server:?}: {outcome:?}",
-                opening.request.id
-            ),
-        }
-        if host.now() >= due {
+        let outcome =
+            match fetch(host, server, Kind::Again, due, |ms| opening.for_backend(ms)).await {
+                Ok(backend) => return Some(backend),
+                Err(outcome) => outcome,
+            };
+        log::warn!(
+            "{:?} is not open at {server:?}: {outcome:?}",
+            opening.request.id
+        );
+        // The backend's own word stands; a server that nobody knows is not worth the whole wait.
+        let said = matches!(outcome, Outcome::Error | Outcome::Full | Outcome::Cancelled);
+        let unknown = outcome == Outcome::Moot && host.now() >= listed_by;
+        if said || unknown || host.now() >= due {
             return None;
         }
         sleep(AGAIN).await;
--- /dev/null
+++ b/src/net/room.rs
@@ -0,0 +1,98 @@
+//! The descriptors that clients may take. When they run out, those that have not said what they want, or have
+//! their answer already, give way to the others, the longest there first.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+
+/// Descriptors kept for what is not a client's or its backend's, and for those that are being closed.
+const SPARE: usize = 32;
+/// What a client takes that waits for nothing but its own words or its end.
+const IDLE: usize = 1;
+/// What a client takes that is served: its own descriptor and its backend's.
+const SERVED: usize = 2;
+
+/// Who holds descriptors.
+#[derive(Default)]
+pub struct Room {
+    held: Cell<usize>,
+    /// One for each client that may be sent away; those whose other end is gone are out of date.
+    idle: RefCell<VecDeque<oneshot::Sender<()>>>,
+}
+
+/// A client's part of the room, until it is dropped.
+pub struct Place {
+    room: Rc<Room>,
+    held: usize,
+    /// Says when the client has to go; `None` while it is served.
+    evict: Option<oneshot::Receiver<()>>,
+}
+
+impl Room {
+    /// A place for a client that has said nothing yet; `None` if all room is taken by clients that are served.
+    pub fn enter(self: &Rc<Self>, sockets: usize) -> Option<Place> {
+        let mut place = Place {
+            room: self.clone(),
+            held: 0,
+            evict: None,
+        };
+        place.grow_to(IDLE, sockets).then(|| {
+            place.idle();
+            place
+        })
+    }
+}
+
+impl Place {
+    /// From here on the client is served and stays, unless all room is taken by others that do.
+    pub fn serve(&mut self, sockets: usize) -> bool {
+        self.evict = None;
+        self.grow_to(SERVED, sockets)
+    }
+
+    /// From here on the client may be sent away.
+    pub fn idle(&mut self) {
+        let held = &self.room.held;
+        held.set(held.get() - (self.held - IDLE));
+        self.held = IDLE;
+        let (evict, evicted) = oneshot::channel();
+        self.evict = Some(evicted);
+        let mut idle = self.room.idle.borrow_mut();
+        while idle.front().is_some_and(oneshot::Sender::is_closed) {
+            idle.pop_front();
+        }
+        idle.push_back(evict);
+    }
+
+    /// Waits until the client has to go.
+    pub async fn evicted(&mut self) {
+        match &mut self.evict {
+            Some(evicted) => drop(evicted.await),
+            None => std::future::pending().await,
+        }
+    }
+
+    fn grow_to(&mut self, wanted: usize, sockets: usize) -> bool {
+        let room = &self.room;
+        let more = wanted.saturating_sub(self.held);
+        let limit = sockets.saturating_sub(SPARE).max(SERVED);
+        if room.held.get() + more > limit {
+            // The one that leaves gives its descriptor back a moment later: the spare ones bridge that.
+            let mut idle = room.idle.borrow_mut();
+            let gone = std::iter::from_fn(|| idle.pop_front()).find_map(|one| one.send(()).ok());
+            if gone.is_none() {
+                return false;
+            }
+        }
+        room.held.set(room.held.get() + more);
+        self.held += more;
+        true
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.room.held.set(self.room.held.get() - self.held);
+    }
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -101,21 +101,53 @@
 fn hostile_first_lines_cost_their_own_connection_only() {
     let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
     let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
-    let endless = "x".repeat(8000);
+    let (endless, huge) = ("x".repeat(8000), "x".repeat(3_000_000));
     let odd = [
         "GET / HTTP/1.1\r\n",
         "OPEN 1 k c=live,d=5\r\n",
         "OPEN 00000000000000e1 k c=live,d=-5\r\n",
+        "OPEN 00000000000000e1 k c=lives,d=9\r\n",
+        "OPEN 00000000000000e1 k c=live,d=4294967,at=s-9\r\n",
         "OPEN 00000000000000e1 k c=live\n",
         "OPEN 00000000000000e1 k c=live,d=9,d=9\r\n",
         "OPEN 00000000000000e1 k c=li\u{e9}ve,d=9\r\n",
+        "OPEN 00000000000000e1 k c=live,d=900\r\nOPEN 00000000000000e2 k c=live,d=900\r\n",
+        "PING\r\nPING\r\n",
         &endless,
+        &huge,
     ];
     for line in odd {
         let mut client = balancer.connect();
         client.say(line);
-        assert_eq!(client.line(), "ERR\r\n", "{line:?}");
+        assert_eq!(
+            client.line(),
+            "ERR\r\n",
+            "{:?}",
+            &line[..line.len().min(90)]
+        );
     }
+    // A request that is open goes on when another client uses its id.
+    let mut waiting = balancer.open(0xe4, 2000);
+    let (mut asked, _) = backend.accept();
+    assert_eq!(balancer.open(0xe4, 2000).line(), "ERR\r\n");
+    asked.say("UP r1\r\n");
+    assert_eq!(waiting.line(), "UP r1\r\n");
+    // Who speaks before the answer is not served as if the request had run.
+    let mut hasty = balancer.open(0xe5, 2000);
+    let (mut left, _) = backend.accept();
+    hasty.say("M 1\r\n");
+    assert_eq!(
+        (hasty.line(), left.line()),
+        ("ERR\r\n".into(), String::new())
+    );
+    // Half a line does not last, whenever its bytes come.
+    let (came, mut half) = (Instant::now(), balancer.connect());
+    for byte in "OPEN 0000".chars() {
+        half.say(&byte.to_string());
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    half.line();
+    assert!(came.elapsed() < Duration::from_millis(2900));
     let (mut client, mut server) = balancer.standing(0xe2, &backend);
     // A line without an end ends the connection that it stands on.
     client.say(&endless);
@@ -207,3 +239,35 @@
     drop((client, waiting));
     assert_eq!(balancer.exit(), Some(0));
 }
+
+#[test]
+fn a_crowd_that_says_nothing_gives_way() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    // More than the 256 descriptors that the balancer may hold.
+    let mut crowd: Vec<Peer> = (0..300).map(|_| balancer.connect()).collect();
+    balancer.standing(0x41, &backend);
+    assert_eq!(crowd[0].line(), "BUSY\r\n");
+}
+
+#[test]
+fn garbage_speaks_against_its_backend_and_errors_of_two_against_the_request() {
+    let (discovery, one, two) = (Discovery::new(), Backend::new("s-1"), Backend::new("s-2"));
+    let three = Backend::new("s-3");
+    let fleet = [&one, &two, &three].map(|backend| backend.entry("SERVING"));
+    let balancer = Balancer::start(&discovery, &fleet);
+    let asked = |answer: &str| {
+        let (mut server, _) = next_of(&[&one, &two, &three]);
+        server.say(answer);
+        server
+    };
+    let mut client = balancer.open(0x51, 2000);
+    asked("\u{1}?\r\n");
+    let _server = asked("UP r1\r\n");
+    assert_eq!(client.line(), "UP r1\r\n");
+    // The third is not tried.
+    let mut client = balancer.open(0x52, 2000);
+    asked("ERR\r\n");
+    asked("ERR\r\n");
+    assert_eq!(client.line(), "ERR\r\n");
+}
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -84,6 +84,23 @@
     }
 }
 
+/// The next connection at any of them, and the first line on it.
+pub fn next_of(backends: &[&Backend]) -> (Peer, String) {
+    let mut next = None;
+    wait_until(|| {
+        next = backends.iter().find_map(|backend| {
+            backend.listener.set_nonblocking(true).expect("settable");
+            backend.listener.accept().ok()
+        });
+        next.is_some()
+    });
+    let stream = next.expect("a connection").0;
+    stream.set_nonblocking(false).expect("settable");
+    let mut peer = Peer::new(stream);
+    let line = peer.line();
+    (peer, line)
+}
+
 /// Takes the answers that the story prepares, one for each call, and says what was called.
 pub struct Discovery {
     pub address: SocketAddr,
