Hold errors against their server and let a rising load count at once

Excluded: cold servers (warm within 1 s there), the list, message times, CPU.

Lines at fault: ended() in choice.rs held no error against a server and every one against the fleet; weigh() looked once a second and used one level for both what is shut out and what is moved.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,12 +16,13 @@
 const DROWNED: f64 = 1.0 / BUSY_FROM;
 /// A note tells when a server is clear again, but not a node that has left it: that one tries after this.
 const NOTE_LASTS: Time = 8.0;
-/// What peers tell is repeated less often, to spare messages.
-const NEWS_LASTS: Time = 4.0;
 /// First pause for a server that failed, in connect time-outs; doubled with each failure in a row.
 const FAIL_PAUSE: f64 = 2.0;
 /// Where so many servers answer a request with an error, the request is at fault: no other one is tried.
 const ERRORS: u32 = 2;
+/// A server errs from this share of errors among its answers on; each answer weighs so much in it.
+const ERRING: f64 = 0.4;
+const ERROR_STEP: f64 = 0.25;
 /// Share of this node's connections at a drowning server that is moved away each second.
 const MOVE_RATE: f64 = 0.12;
 /// Share of the fall budget that is used; the rest is for chance and for what other nodes misjudge.
@@ -49,8 +50,6 @@
 /// Loads of a server are weighed this often, and not while notes have come of late: they know better.
 const WEIGH_EVERY: Time = 1.0;
 const NOTES_RULE: Time = 30.0;
-/// First byte of a message to peers: its version. Then five a server: part of its id, its level in tenths.
-const PEER_VERSION: u8 = 1;
 /// First pause before asking discovery again, as a share of `ask_within`; doubled with each failure in a row.
 const ASK_PAUSE: f64 = 1.0 / 32.0;
 /// The timer that asks discovery again.
@@ -73,12 +72,12 @@
     /// Held to be busy or failing until then.
     shut_until: Time,
     failures: u32,
+    /// The share of errors among its answers of late.
+    errors: f64,
     /// When its loads were last weighed.
     weighed: Time,
     /// When a slow set-up last showed that it drowns.
     slow: Time,
-    /// When peers last knew that it is busy.
-    told: Time,
     /// When it last drowned or failed: what comes back from that is let in slowly too.
     sick: Time,
     /// Attempts that this node may still send while the server is cold or sick, and when that was counted.
@@ -215,8 +214,8 @@
                     self.attempt(now, id, out);
                 }
             }
-            Event::Peer(bytes) => self.heard(now, bytes),
-            Event::Settings(_) | Event::Timer(_) => {}
+            // There is nothing that nodes tell each other.
+            Event::Settings(_) | Event::Timer(_) | Event::Peer(_) => {}
         }
     }
 
@@ -259,9 +258,9 @@
                 level: 0.0,
                 shut_until: 0.0,
                 failures: 0,
+                errors: 0.0,
                 weighed: now,
                 slow: f64::NEG_INFINITY,
-                told: f64::NEG_INFINITY,
                 sick: f64::NEG_INFINITY,
                 tokens: (self.random(), now),
             };
@@ -490,7 +489,12 @@
         let took = now - live.sent;
         self.standing += 1;
         self.strain /= 2;
-        self.find(server).into_iter().for_each(|s| s.failures = 0);
+        if let Some(server) = self.find(server) {
+            server.errors -= server.errors * ERROR_STEP;
+            if server.errors < ERRING {
+                server.failures = 0;
+            }
+        }
         let (usual, notes) = (self.usual_setup, self.notes_tell(now));
         self.usual_setup = match took > usual {
             _ if usual <= 0.0 => took,
@@ -515,24 +519,31 @@
         if !ended.settled && phase != Phase::Out(to) && phase != Phase::Standing(to) {
             return;
         }
-        let strained = matches!(how, Outcome::Full | Outcome::Timeout | Outcome::Reset);
         let first_pause = FAIL_PAUSE * self.config.connect_timeout;
-        let (mut zone, mut cell, mut news) = (0, 0, true);
+        let (mut zone, mut cell) = (0, 0);
         if let Some(server) = self.find(to) {
             (zone, cell) = (server.at.zone, server.at.cell);
+            if how == Outcome::Error {
+                server.errors += (1.0 - server.errors) * ERROR_STEP;
+            }
+            let failing = match how {
+                Outcome::Full | Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset => true,
+                // One error may be the request's own fault.
+                Outcome::Error => server.errors >= ERRING,
+                _ => false,
+            };
             // A server that fails, refuses or drops connections is left alone for a while. What ends there
             // meanwhile began before: one that breaks all its connections at once has failed once.
-            news = server.failures == 0 || now >= server.shut_until;
-            if news && (strained || how == Outcome::ConnectFailed) {
+            if failing && (server.failures == 0 || now >= server.shut_until) {
                 let pause = first_pause * f64::from(1 << server.failures.min(5));
                 server.shut_until = server.shut_until.max(now + pause);
                 (server.failures, server.sick) = (server.failures + 1, now);
+                // Retries that come at once keep a drowned fleet down: send slower the more fail.
+                if how != Outcome::ConnectFailed {
+                    self.strain = (self.strain + 1).min(MAX_GAP);
+                }
             }
         }
-        // Retries that come at once keep a failed store or a drowned fleet down: send slower the more fail.
-        if news && (strained || how == Outcome::Error) {
-            self.strain = (self.strain + 1).min(MAX_GAP);
-        }
         if ended.settled {
             self.forget(id);
             return;
@@ -578,71 +589,63 @@
         let Some(server) = at.ok().map(|at| &self.servers[at]) else {
             return;
         };
-        if self.notes_tell(now) || now < server.weighed + WEIGH_EVERY {
+        if self.notes_tell(now) {
             return;
         }
-        let level = 1.0 + (self.share(now, server) / FULL_FROM - 1.0) * STEEP;
-        let level = level.min(DROWNING * GUESSED);
+        let guess = 1.0 + (self.share(now, server) / FULL_FROM - 1.0) * STEEP;
         let slow = now < server.slow + NOTE_LASTS;
+        let level = guess.min(DROWNING * GUESSED);
         let level = level.max(if slow { server.level } else { 0.0 });
-        let was_busy = server.level >= 1.0;
-        self.find(id).into_iter().for_each(|s| s.weighed = now);
-        if level >= 1.0 || was_busy {
-            self.noted(now, id, level, out);
+        let (was, due) = (server.level, now >= server.weighed + WEIGH_EVERY);
+        // A wave fills a server in less time than lies between two looks: what rises counts at once.
+        let busy = level >= 1.0 || was >= 1.0;
+        if busy && (due || level > was) {
+            self.hold(now, id, level);
+        }
+        if due {
+            self.find(id).into_iter().for_each(|s| s.weighed = now);
+        }
+        if due && busy {
+            self.shed(now, id, guess.max(level), out);
         }
     }
 
-    /// A busy server gets nothing new, peers hear of it, and some connections move down their ranking.
+    /// A busy server gets nothing new, and some connections move down their ranking.
     fn noted(&mut self, now: Time, id: ServerId, level: f64, out: &mut Vec<Action>) {
-        let (random, chance) = (self.random(), self.random());
-        let all = f64::from(self.standing.max(1));
-        let (may_tell, servers) = (self.config.may_tell, self.servers.len() as f64);
-        let nodes = f64::from(self.config.nodes);
+        self.hold(now, id, level);
+        self.shed(now, id, level, out);
+    }
+
+    fn hold(&mut self, now: Time, id: ServerId, level: f64) {
         let Some(server) = self.find(id) else { return };
         server.level = level;
         if level >= DROWNING {
             server.sick = now;
         }
         server.shut_until = if level >= 1.0 { now + NOTE_LASTS } else { now };
+    }
+
+    fn shed(&mut self, now: Time, id: ServerId, level: f64, out: &mut Vec<Action>) {
+        // A second number is drawn as ever, so that figures compare with those of before.
+        let random = (self.random(), self.random()).0;
         if level < 1.0 {
             return;
         }
-        // All nodes that hold connections there get this note: about one of them tells the others.
-        let held = server.held.len() as f64;
-        let tellers = (nodes * (all / servers).min(1.0)).max(1.0);
-        if may_tell && now - server.told > NEWS_LASTS / 2.0 && chance < 1.0 / tellers {
-            server.told = now;
-            let mut bytes = vec![PEER_VERSION];
-            bytes.extend_from_slice(&(id.0 as u32).to_be_bytes());
-            bytes.push((level * 10.0).min(255.0) as u8);
-            out.push(Action::Tell { to: None, bytes });
-        }
-        let count = held * MOVE_RATE * ((level - 1.0) / (DROWNED - 1.0)).min(1.0) + random;
-        let held: Vec<RequestId> = server.held.iter().copied().collect();
+        let held = self
+            .find(id)
+            .into_iter()
+            .flat_map(|s| s.held.iter().copied());
+        let held: Vec<RequestId> = held.collect();
+        let count = held.len() as f64 * MOVE_RATE * ((level - 1.0) / (DROWNED - 1.0)).min(1.0);
         let here = held.iter().filter_map(|id| self.live.get(id));
         let mut heavy: Vec<&Live> = here.filter(|l| l.phase == Phase::Standing(id)).collect();
         heavy.sort_by(|a, b| b.load.total_cmp(&a.load));
-        heavy.truncate(count as usize);
+        heavy.truncate((count + random) as usize);
         // What stands on a drowned server is served nothing: shed it even if it must wait for room.
         heavy.retain(|live| level >= DROWNED || self.choose(now, live, Some(id)).is_some());
         out.extend(heavy.iter().map(|live| Action::Move(live.request.id)));
     }
 
-    /// News from a peer: unknown versions, broken messages and unlisted servers are ignored.
-    fn heard(&mut self, now: Time, bytes: &[u8]) {
-        let Some((&PEER_VERSION, news)) = bytes.split_first() else {
-            return;
-        };
-        for item in news.chunks_exact(5) {
-            let part = u32::from_be_bytes([item[0], item[1], item[2], item[3]]);
-            if let Some(server) = self.servers.iter_mut().find(|s| s.at.id.0 as u32 == part) {
-                server.level = f64::from(item[4]) / 10.0;
-                server.told = now;
-                server.shut_until = server.shut_until.max(now + NEWS_LASTS);
-            }
-        }
-    }
-
     /// The client left: an attempt that is still out is called off to spare the server.
     fn left(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if let Some(live) = self.forget(id)
