Let a call wait 4 s at discovery, so that its silence is noticed in 6 s, not 12

Line at fault: WAIT in director.rs. Story: a_discovery_that_falls_silent_is_asked_again_soon; with 10 s the first call still takes the answer.

--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -11,8 +11,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
-/// How long a call may wait at discovery for something new.
-const WAIT: Duration = Duration::from_secs(10);
+/// How long a call may wait at discovery for something new. A discovery that falls silent is noticed only after
+/// this, and meanwhile backends drain and go untold.
+const WAIT: Duration = Duration::from_secs(4);
 /// Past that, a call without an answer has failed: discovery is cut off and gives no sign.
 const SILENCE: Duration = Duration::from_secs(2);
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -271,3 +271,16 @@
     asked("ERR\r\n");
     assert_eq!(client.line(), "ERR\r\n");
 }
+
+#[test]
+fn a_discovery_that_falls_silent_is_asked_again_soon() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let _balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    discovery.wait_for_calls(1);
+    std::thread::sleep(Duration::from_secs(9));
+    // This answers the first call, which is given up by now; a call of its own has come after it.
+    discovery.tell(2, false, &[]);
+    discovery.wait_for_calls(2);
+    let calls = discovery.calls.lock().expect("whole").clone();
+    assert!(calls[1].contains("since=1&"), "{calls:?}");
+}
