--- /dev/null
+++ b/crates/cluster/src/driver.rs
@@ -0,0 +1,287 @@
+//! Carries a node's effects out: one datagram socket, one clock, one task for each duty under way.
+
+use crate::hook::{Duty, Work};
+use crate::node::{Effect, Node, Notice, Setup};
+use spanspur_duties::board::Entry;
+use spanspur_duties::{Millis, Now, Permit};
+use spanspur_membership::Keys;
+use spanspur_membership::seal::MAX_DATAGRAM;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::spawn_local;
+use tokio::time::{sleep_until, timeout};
+
+/// Datagrams taken in one turn, so that a flood of them leaves the balancer its own.
+const BATCH: usize = 64;
+/// News that waits for whoever is interested in it.
+const MAX_NEWS: usize = 16_384;
+
+struct Shared {
+    node: RefCell<Node>,
+    duties: RefCell<BTreeMap<String, Rc<dyn Duty>>>,
+    work: Work,
+    socket: UdpSocket,
+    changed: Notify,
+    news: mpsc::Sender<Entry>,
+    /// Datagrams and bytes sent and received, datagrams that the socket did not take, news that found no room.
+    traffic: RefCell<Traffic>,
+}
+
+/// What went over the socket.
+#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
+pub struct Traffic {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// Datagrams received.
+    pub received: u64,
+    /// Their bytes.
+    pub received_bytes: u64,
+    /// Datagrams that the socket did not take.
+    pub unsent: u64,
+    /// News dropped since nobody took it; it is on the board all the same.
+    pub news_dropped: u64,
+}
+
+/// A running instance of a cluster.
+pub struct Cluster;
+
+/// What the rest of the program holds of it.
+#[derive(Clone)]
+pub struct Handle(Rc<Shared>);
+
+impl Cluster {
+    /// Opens the socket and starts the instance on the current `LocalSet`. News of other instances' results comes
+    /// out of the receiver.
+    pub async fn start(setup: Setup) -> io::Result<(Handle, mpsc::Receiver<Entry>)> {
+        let socket = UdpSocket::bind(setup.me.address).await?;
+        let work = Work {
+            origin: Instant::now(),
+        };
+        let (news, fresh) = mpsc::channel(MAX_NEWS);
+        let shared = Rc::new(Shared {
+            node: RefCell::new(Node::new(now_of(work), setup)),
+            duties: RefCell::default(),
+            work,
+            socket,
+            changed: Notify::new(),
+            news,
+            traffic: RefCell::default(),
+        });
+        let handle = Handle(shared);
+        spawn_local(run(handle.clone()));
+        Ok((handle, fresh))
+    }
+}
+
+fn now_of(work: Work) -> Now {
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    Now {
+        mono: work.now(),
+        wall: unix.unwrap_or_default().as_millis() as Millis,
+    }
+}
+
+impl Handle {
+    /// Takes the duties over that are to be done from now on: new ones begin, missing ones are given back.
+    pub fn duties(&self, duties: Vec<Rc<dyn Duty>>) {
+        let named: BTreeMap<String, Rc<dyn Duty>> =
+            duties.into_iter().map(|duty| (duty.name(), duty)).collect();
+        let every = named.iter().map(|(n, duty)| (n.clone(), duty.every_ms()));
+        let every: BTreeMap<String, Millis> = every.collect();
+        self.0.duties.replace(named);
+        self.with(|node, now| node.configure(now, &every));
+    }
+
+    /// Takes other keys and seeds over.
+    pub fn rekey(&self, keys: Keys, seeds: Vec<SocketAddr>) {
+        self.with(|node, _| node.rekey(keys, seeds));
+    }
+
+    /// Puts results on the board.
+    pub fn publish(&self, entries: Vec<Entry>) {
+        self.with(|node, now| node.publish(now, entries));
+    }
+
+    /// Gives all duties back and says farewell to the others.
+    pub fn leave(&self) {
+        self.with(|node, now| node.leave(now));
+    }
+
+    /// The clock of the permits.
+    pub fn work(&self) -> Work {
+        self.0.work
+    }
+
+    /// What went over the socket.
+    pub fn traffic(&self) -> Traffic {
+        *self.0.traffic.borrow()
+    }
+
+    /// Looks at the node, or changes it, and carries out what comes of that.
+    pub fn with<T>(&self, change: impl FnOnce(&mut Node, Now) -> T) -> T {
+        let now = now_of(self.0.work);
+        let result = change(&mut self.0.node.borrow_mut(), now);
+        self.carry_out();
+        self.0.changed.notify_one();
+        result
+    }
+
+    fn carry_out(&self) {
+        let effects = self.0.node.borrow_mut().effects();
+        for effect in effects {
+            match effect {
+                Effect::Datagram(to, bytes) => self.send(to, &bytes),
+                Effect::Perform(permit) => self.perform(permit),
+                Effect::News(entry) => {
+                    if self.0.news.try_send(entry).is_err() {
+                        self.0.traffic.borrow_mut().news_dropped += 1;
+                    }
+                }
+                Effect::Notice(notice) => self.log(notice),
+            }
+        }
+    }
+
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        let sent = self.0.socket.try_send_to(bytes, to);
+        let mut traffic = self.0.traffic.borrow_mut();
+        match sent {
+            Ok(n) => {
+                traffic.sent += 1;
+                traffic.sent_bytes += n as u64;
+            }
+            // Lost like any other: all that matters is asked again.
+            Err(_) => traffic.unsent += 1,
+        }
+    }
+
+    fn perform(&self, permit: Permit) {
+        let name = self.0.node.borrow().duty_name(permit.duty).to_owned();
+        let Some(duty) = self.0.duties.borrow().get(&name).cloned() else {
+            return;
+        };
+        let handle = self.clone();
+        spawn_local(async move {
+            let work = handle.0.work;
+            let start = work.now();
+            let in_time = work.holds(&permit);
+            let mut result = Vec::new();
+            if in_time {
+                tracing::debug!(duty = name, period = permit.period, "performs");
+                let left = Duration::from_millis(permit.until.saturating_sub(start));
+                match timeout(left, duty.perform(permit, work)).await {
+                    Ok(entries) => result = entries,
+                    Err(_) => {
+                        tracing::warn!(
+                            duty = name,
+                            period = permit.period,
+                            "cut off: not done within its period"
+                        );
+                    }
+                }
+            } else {
+                tracing::warn!(
+                    duty = name,
+                    period = permit.period,
+                    "not performed: the permit has run out"
+                );
+            }
+            let took = work.now() - start;
+            tracing::trace!(
+                duty = name,
+                period = permit.period,
+                took_ms = took,
+                "performed"
+            );
+            handle.with(|node, now| {
+                node.performed(&permit, in_time);
+                node.publish(now, result.clone());
+            });
+            // What was found here counts here as well.
+            for entry in result {
+                let _ = handle.0.news.try_send(entry);
+            }
+        });
+    }
+
+    fn log(&self, notice: Notice) {
+        let node = self.0.node.borrow();
+        match notice {
+            Notice::Up(who) => {
+                tracing::info!(instance = who.name, address = %who.address, "an instance is there");
+            }
+            Notice::Down(who) => {
+                tracing::warn!(instance = who.name, address = %who.address, "an instance is gone");
+            }
+            Notice::Renewed => tracing::warn!("the others held this instance for gone"),
+            Notice::Missed(duty, periods) => {
+                tracing::warn!(
+                    duty = node.duty_name(duty),
+                    periods,
+                    "periods passed undone"
+                );
+            }
+            Notice::Minority(duty, true) => {
+                tracing::warn!(
+                    duty = node.duty_name(duty),
+                    "no majority of its voters: not performed here"
+                );
+            }
+            Notice::Minority(duty, false) => {
+                tracing::info!(
+                    duty = node.duty_name(duty),
+                    "a majority of its voters again"
+                );
+            }
+            Notice::Holds(duty, true) => {
+                tracing::info!(duty = node.duty_name(duty), "the duty comes here");
+            }
+            Notice::Holds(duty, false) => {
+                tracing::debug!(duty = node.duty_name(duty), "the duty is not here");
+            }
+        }
+    }
+}
+
+async fn run(handle: Handle) {
+    let shared = &handle.0;
+    let mut buffer = [0; MAX_DATAGRAM + 1];
+    loop {
+        let wake = shared.node.borrow().next_wake();
+        let wake = shared.work.origin + Duration::from_millis(wake);
+        tokio::select! {
+            ready = shared.socket.readable() => if ready.is_err() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            },
+            () = sleep_until(wake.into()) => {}
+            // Something was changed from outside, and with it the next timer.
+            () = shared.changed.notified() => {}
+        }
+        for _ in 0..BATCH {
+            let Ok((size, from)) = shared.socket.try_recv_from(&mut buffer) else {
+                break;
+            };
+            {
+                let mut traffic = shared.traffic.borrow_mut();
+                traffic.received += 1;
+                traffic.received_bytes += size as u64;
+            }
+            let now = now_of(shared.work);
+            shared.node.borrow_mut().receive(now, from, &buffer[..size]);
+        }
+        let now = now_of(shared.work);
+        if shared.node.borrow().next_wake() <= now.mono {
+            shared.node.borrow_mut().wake(now);
+        }
+        handle.carry_out();
+        tokio::task::yield_now().await;
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/node.rs
@@ -0,0 +1,509 @@
+//! One instance of a cluster without I/O: the membership, the duties and the board, and the datagrams in which all
+//! three travel. What can be replayed in virtual time is all of an instance but its sockets.
+
+use serde::{Deserialize, Serialize};
+use spanspur_duties::board::{Entry, News};
+use spanspur_duties::division::Ranking;
+use spanspur_duties::instance::Status;
+use spanspur_duties::{
+    Board, DutyId, Instance, InstanceId, Item, Millis, Now, Output, Permit, Settings,
+};
+use spanspur_membership::seal::{Kind, MAX_DATAGRAM, OVERHEAD, Refusal};
+use spanspur_membership::{Change, Identity, Keys, Membership, Pace, Sessions};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// What a datagram may carry.
+const ROOM: usize = MAX_DATAGRAM - OVERHEAD - 16;
+/// Seeds that are not there are greeted so often; in between nothing is sent for want of a session more often.
+const GREET_EVERY: Millis = 1000;
+const GREET_AGAIN: Millis = 100;
+/// Boards are compared with one other instance so often.
+const COMPARE_EVERY: Millis = 1000;
+/// Greetings answered in that time: a flood of them costs no more.
+const MAX_ANSWERS: u32 = 256;
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Its name, where it takes datagrams, and this run of it.
+    pub me: Identity,
+    /// The cluster's keys.
+    pub keys: Keys,
+    /// Where others may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The names of those who vote, the same at all instances.
+    pub voters: Vec<String>,
+    /// How far wall clocks may lie apart.
+    pub skew: Millis,
+    /// How fast the membership looks.
+    pub pace: Pace,
+    /// Ranks instances for a duty.
+    pub ranking: Ranking,
+    /// For random numbers.
+    pub seed: u64,
+}
+
+/// What the driver is to do.
+#[derive(Debug)]
+pub enum Effect {
+    /// Send a datagram.
+    Datagram(SocketAddr, Vec<u8>),
+    /// Do a duty, as long as the permit holds.
+    Perform(Permit),
+    /// Something new on the board, by another instance.
+    News(Entry),
+    /// Something for the log.
+    Notice(Notice),
+}
+
+/// What an operator may want to know of.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// An instance is there.
+    Up(Identity),
+    /// It is not there any more.
+    Down(Identity),
+    /// This instance was held for down, wrongly.
+    Renewed,
+    /// Periods of a duty passed undone.
+    Missed(DutyId, u64),
+    /// No majority for a duty of ours, or one again.
+    Minority(DutyId, bool),
+    /// A duty came to this instance, or left it.
+    Holds(DutyId, bool),
+}
+
+/// What a datagram carries.
+#[derive(Serialize, Deserialize)]
+enum Body {
+    Gossip(Vec<u8>),
+    /// The hash of the voters, which have to be the same at both ends, and the items.
+    Duties(u64, Vec<Item>),
+    Board(News),
+}
+
+/// A member as others are told of it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where it takes datagrams.
+    pub address: SocketAddr,
+    /// It is there.
+    pub alive: bool,
+    /// It votes.
+    pub voter: bool,
+    /// It is the one that was asked.
+    pub me: bool,
+}
+
+/// One instance of a cluster. See the module's page.
+pub struct Node {
+    setup: Setup,
+    voters_hash: u64,
+    sessions: Sessions,
+    members: Membership,
+    duties: Instance,
+    board: Board,
+    /// Everyone ever heard of, by id: the alive ones, and those that answered a greeting.
+    known: BTreeMap<InstanceId, Identity>,
+    alive: Vec<InstanceId>,
+    names: BTreeMap<DutyId, String>,
+    greeted: BTreeMap<SocketAddr, Millis>,
+    next_greet: Millis,
+    next_compare: Millis,
+    compared: usize,
+    answers: (Millis, u32),
+    effects: Vec<Effect>,
+    counters: BTreeMap<&'static str, u64>,
+}
+
+impl Node {
+    /// An instance that has met nobody yet.
+    pub fn new(now: Now, setup: Setup) -> Self {
+        let me = InstanceId::of(&setup.me.name);
+        let voters: Vec<InstanceId> = setup.voters.iter().map(|v| InstanceId::of(v)).collect();
+        let mut sorted = voters.clone();
+        sorted.sort();
+        let hashed: Vec<u8> = sorted.iter().flat_map(|v| v.0.to_le_bytes()).collect();
+        let settings = Settings {
+            me,
+            boot: setup.me.boot,
+            voters,
+            skew: setup.skew,
+            ranking: setup.ranking,
+        };
+        Self {
+            voters_hash: xxh3_64(&hashed),
+            sessions: Sessions::new(me.0, setup.me.boot, setup.keys.clone()),
+            members: Membership::new(setup.me.clone(), setup.pace, setup.seed),
+            duties: Instance::new(now, settings),
+            board: Board::default(),
+            known: BTreeMap::new(),
+            alive: Vec::new(),
+            names: BTreeMap::new(),
+            greeted: BTreeMap::new(),
+            next_greet: now.mono,
+            next_compare: now.mono + COMPARE_EVERY,
+            compared: 0,
+            answers: (now.mono, 0),
+            effects: Vec::new(),
+            counters: BTreeMap::new(),
+            setup,
+        }
+    }
+
+    /// Takes the duties over, by name, each with its period.
+    pub fn configure(&mut self, now: Now, duties: &BTreeMap<String, Millis>) {
+        self.names = duties.keys().map(|n| (DutyId::of(n), n.clone())).collect();
+        let by_id = duties.iter().map(|(n, every)| (DutyId::of(n), *every));
+        self.duties.configure(now, &by_id.collect());
+        self.settle(now);
+    }
+
+    /// Takes other keys and seeds over.
+    pub fn rekey(&mut self, keys: Keys, seeds: Vec<SocketAddr>) {
+        self.sessions.rekey(keys.clone());
+        (self.setup.keys, self.setup.seeds) = (keys, seeds);
+    }
+
+    /// Takes a datagram; what does not hold is counted and dropped.
+    pub fn receive(&mut self, now: Now, from: SocketAddr, bytes: &[u8]) {
+        let opened = match self.sessions.open(bytes) {
+            Ok(opened) => opened,
+            Err(why) => {
+                self.count(why.name());
+                // Sealed by one of us for a run of ours that is over: it learns of the new one.
+                if why == Refusal::OtherRun {
+                    self.greet(now, from);
+                }
+                return;
+            }
+        };
+        let (id, boot, fresh) = (InstanceId(opened.from), opened.boot, opened.fresh);
+        match opened.kind {
+            Kind::Greeting | Kind::Answer => {
+                let Ok(who) = postcard::from_bytes::<Identity>(opened.body) else {
+                    return self.count("garbled");
+                };
+                if InstanceId::of(&who.name) != id || who.boot != boot {
+                    return self.count("garbled");
+                }
+                if who.name == self.setup.me.name {
+                    return self.count("own-name");
+                }
+                if opened.kind == Kind::Greeting {
+                    self.answer(now, from, boot);
+                } else {
+                    self.met(now, who, fresh);
+                }
+            }
+            Kind::Data => {
+                // Heard from in a new run before it answered: it is asked who it is.
+                if fresh {
+                    self.greet(now, from);
+                }
+                match postcard::from_bytes::<Body>(opened.body) {
+                    Ok(Body::Gossip(bytes)) => self.members.receive(now.mono, &bytes),
+                    Ok(Body::Duties(hash, items)) if hash == self.voters_hash => {
+                        self.duties.receive(now, id, &items);
+                    }
+                    Ok(Body::Duties(..)) => self.count("other-voters"),
+                    Ok(Body::Board(news)) => {
+                        let (fresh, sends) = self.board.receive(id, news);
+                        self.effects.extend(fresh.into_iter().map(Effect::News));
+                        self.send_news(now, sends);
+                    }
+                    Err(_) => self.count("garbled"),
+                }
+            }
+        }
+        self.settle(now);
+    }
+
+    /// When [`Node::wake`] is due at the latest.
+    pub fn next_wake(&self) -> Millis {
+        let own = self.next_greet.min(self.next_compare);
+        let others = [self.members.next_wake(), self.duties.next_wake()];
+        others.into_iter().flatten().fold(own, Millis::min)
+    }
+
+    /// Carries out what has fallen due.
+    pub fn wake(&mut self, now: Now) {
+        if now.mono >= self.next_greet {
+            self.next_greet = now.mono + GREET_EVERY;
+            let alive: BTreeSet<SocketAddr> =
+                self.members.alive().values().map(|m| m.address).collect();
+            let me = self.setup.me.address;
+            let absent: Vec<SocketAddr> = self
+                .setup
+                .seeds
+                .iter()
+                .filter(|seed| **seed != me && !alive.contains(seed))
+                .copied()
+                .collect();
+            absent.into_iter().for_each(|seed| self.greet(now, seed));
+        }
+        if now.mono >= self.next_compare {
+            self.next_compare = now.mono + COMPARE_EVERY;
+            if !self.alive.is_empty() {
+                self.compared = (self.compared + 1) % self.alive.len();
+                let sends = vec![(self.alive[self.compared], self.board.compare())];
+                self.send_news(now, sends);
+            }
+        }
+        self.members.wake(now.mono);
+        self.duties.wake(now);
+        self.settle(now);
+    }
+
+    /// Puts results on the board of all instances.
+    pub fn publish(&mut self, now: Now, entries: Vec<Entry>) {
+        let sends = self.board.publish(entries, &self.alive);
+        self.send_news(now, sends);
+    }
+
+    /// What the board holds for a key.
+    pub fn board(&self) -> &Board {
+        &self.board
+    }
+
+    /// The board, to drop what is not wanted any more.
+    pub fn board_mut(&mut self) -> &mut Board {
+        &mut self.board
+    }
+
+    /// A duty was done, or its permit ran out before that.
+    pub fn performed(&mut self, permit: &Permit, in_time: bool) {
+        self.duties.performed(permit, in_time);
+    }
+
+    /// Gives all duties back and says farewell.
+    pub fn leave(&mut self, now: Now) {
+        self.duties.leave(now);
+        self.settle(now);
+        self.members.leave(now.mono);
+        self.settle(now);
+    }
+
+    /// What is to be done, in order.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Every duty that this instance knows, with its name.
+    pub fn status(&self, now: Now) -> Vec<(String, Status)> {
+        let named = |s: Status| self.names.get(&s.duty).map(|name| (name.clone(), s));
+        self.duties.status(now).filter_map(named).collect()
+    }
+
+    /// The name of a duty.
+    pub fn duty_name(&self, duty: DutyId) -> &str {
+        self.names.get(&duty).map_or("?", String::as_str)
+    }
+
+    /// The name of an instance, where it is known.
+    pub fn instance_name(&self, id: InstanceId) -> Option<&str> {
+        if id == InstanceId::of(&self.setup.me.name) {
+            return Some(&self.setup.me.name);
+        }
+        let voter = self.setup.voters.iter().find(|v| InstanceId::of(v) == id);
+        self.known
+            .get(&id)
+            .map(|who| who.name.as_str())
+            .or(voter.map(String::as_str))
+    }
+
+    /// Everyone heard of.
+    pub fn members(&self) -> Vec<Member> {
+        let me = self.members.me();
+        let alive = self.members.alive();
+        let votes = |name: &str| self.setup.voters.iter().any(|voter| voter == name);
+        let mut all = vec![Member {
+            name: me.name.clone(),
+            address: me.address,
+            alive: true,
+            voter: votes(&me.name),
+            me: true,
+        }];
+        all.extend(self.known.values().map(|who| Member {
+            name: who.name.clone(),
+            address: who.address,
+            alive: alive.contains_key(&who.name),
+            voter: votes(&who.name),
+            me: false,
+        }));
+        all.sort_by(|a, b| a.name.cmp(&b.name));
+        all
+    }
+
+    /// How long this instance still abstains from votes on duties with this period.
+    pub fn abstains(&self, now: Now, every: Millis) -> Millis {
+        self.duties.abstains(now, every)
+    }
+
+    /// What was dropped or refused, and how often.
+    pub fn counters(&self) -> BTreeMap<&'static str, u64> {
+        let mut counters = self.counters.clone();
+        counters.insert("gossip-refused", self.members.refused);
+        counters.insert("board-refused", self.board.refused);
+        counters
+    }
+
+    fn count(&mut self, what: &'static str) {
+        *self.counters.entry(what).or_default() += 1;
+    }
+
+    fn greet(&mut self, now: Now, to: SocketAddr) {
+        let last = self.greeted.get(&to).copied();
+        if last.is_some_and(|last| now.mono < last + GREET_AGAIN) {
+            return;
+        }
+        // Bounded: only what was greeted a moment ago matters.
+        self.greeted.retain(|_, at| now.mono < *at + GREET_AGAIN);
+        self.greeted.insert(to, now.mono);
+        let body = postcard::to_stdvec(self.members.me()).unwrap_or_default();
+        if let Some(bytes) = self.sessions.greet(&body) {
+            self.effects.push(Effect::Datagram(to, bytes));
+        }
+    }
+
+    fn answer(&mut self, now: Now, to: SocketAddr, run: u64) {
+        if now.mono >= self.answers.0 + GREET_EVERY {
+            self.answers = (now.mono, 0);
+        }
+        self.answers.1 += 1;
+        if self.answers.1 > MAX_ANSWERS {
+            return self.count("greetings-unanswered");
+        }
+        let body = postcard::to_stdvec(self.members.me()).unwrap_or_default();
+        if let Some(bytes) = self.sessions.answer(run, &body) {
+            self.effects.push(Effect::Datagram(to, bytes));
+        }
+    }
+
+    /// Someone has proved to be there: greets back once, and joins over it unless it is a member already.
+    fn met(&mut self, now: Now, who: Identity, fresh: bool) {
+        let id = InstanceId::of(&who.name);
+        self.known.insert(id, who.clone());
+        if fresh {
+            self.answer(now, who.address, who.boot);
+        }
+        if self.members.alive().get(&who.name) != Some(&who) {
+            self.members.join(now.mono, who);
+        }
+    }
+
+    /// Carries on what the parts have brought about.
+    fn settle(&mut self, now: Now) {
+        loop {
+            let changes = self.members.changes();
+            let seen = !changes.is_empty();
+            for change in changes {
+                let notice = match change {
+                    Change::Up(who) => {
+                        self.known.insert(InstanceId::of(&who.name), who.clone());
+                        Notice::Up(who)
+                    }
+                    Change::Down(who) => Notice::Down(who),
+                    Change::Renewed(_) => Notice::Renewed,
+                };
+                self.effects.push(Effect::Notice(notice));
+            }
+            if seen {
+                let alive = self.members.alive().keys();
+                let alive: BTreeSet<InstanceId> = alive.map(|n| InstanceId::of(n)).collect();
+                self.alive = alive.iter().copied().collect();
+                self.duties.view(now, &alive);
+            }
+            let outputs = self.duties.outputs();
+            if !seen && outputs.is_empty() {
+                break;
+            }
+            for output in outputs {
+                match output {
+                    Output::Send(to, items) => self.send_items(now, to, items),
+                    Output::Perform(permit) => self.effects.push(Effect::Perform(permit)),
+                    Output::Missed(duty, n) => self.notice(Notice::Missed(duty, n)),
+                    Output::Minority(duty, yes) => self.notice(Notice::Minority(duty, yes)),
+                    Output::Holds(duty, yes) => self.notice(Notice::Holds(duty, yes)),
+                }
+            }
+        }
+        for (to, bytes) in self.members.sends() {
+            let id = InstanceId::of(&to.name);
+            self.send(now, id, to.address, &Body::Gossip(bytes));
+        }
+    }
+
+    fn notice(&mut self, notice: Notice) {
+        self.effects.push(Effect::Notice(notice));
+    }
+
+    fn send_items(&mut self, now: Now, to: InstanceId, items: Vec<Item>) {
+        let hash = self.voters_hash;
+        self.send_parts(now, to, items, |part| Body::Duties(hash, part));
+    }
+
+    fn send_news(&mut self, now: Now, sends: Vec<(InstanceId, News)>) {
+        for (to, news) in sends {
+            match news {
+                News::Entries(entries, on) => {
+                    self.send_parts(now, to, entries, |part| {
+                        Body::Board(News::Entries(part, on.clone()))
+                    });
+                }
+                news => {
+                    if let Some(address) = self.known.get(&to).map(|who| who.address) {
+                        self.send(now, to, address, &Body::Board(news));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends things in as few datagrams as hold them.
+    fn send_parts<T: Serialize>(
+        &mut self,
+        now: Now,
+        to: InstanceId,
+        things: Vec<T>,
+        body: impl Fn(Vec<T>) -> Body,
+    ) {
+        let Some(address) = self.known.get(&to).map(|who| who.address) else {
+            return self.count("nobody-known");
+        };
+        let head = postcard::experimental::serialized_size(&body(Vec::new())).unwrap_or(ROOM);
+        let (mut part, mut size) = (Vec::new(), head);
+        for thing in things {
+            let more = postcard::experimental::serialized_size(&thing).unwrap_or(ROOM);
+            if size + more > ROOM && !part.is_empty() {
+                let full = std::mem::take(&mut part);
+                self.send(now, to, address, &body(full));
+                size = head;
+            }
+            size += more;
+            part.push(thing);
+        }
+        if !part.is_empty() {
+            self.send(now, to, address, &body(part));
+        }
+    }
+
+    fn send(&mut self, now: Now, to: InstanceId, address: SocketAddr, body: &Body) {
+        let Ok(bytes) = postcard::to_stdvec(body) else {
+            return self.count("not-encoded");
+        };
+        if self.sessions.run_of(to.0).is_none() {
+            // Who repeats itself is heard later; greeted, the other's run is known by then.
+            self.count("no-session");
+            return self.greet(now, address);
+        }
+        match self.sessions.seal(to.0, Kind::Data, &bytes) {
+            Some(bytes) => self.effects.push(Effect::Datagram(address, bytes)),
+            None => self.count("too-large"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/duties-rig/src/lib.rs
@@ -0,0 +1,23 @@
+//! Rigs for the shared duties: a cluster of real nodes (`spanspur_cluster::Node`) in virtual time, with a network
+//! and faults from a seed, and a judge who knows the truth.
+#![forbid(unsafe_code)]
+
+pub mod judge;
+pub mod world;
+
+pub use judge::{Act, Judge, Verdict};
+pub use world::{Fault, Plan, World};
+
+use spanspur_duties::division::Ranking;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A ranking for rigs, of the form of the balancer's own: -1 / ln of a hash in (0, 1).
+pub fn ranking() -> Ranking {
+    Ranking(|duty, instance| {
+        let mut bytes = [0; 16];
+        bytes[..8].copy_from_slice(&duty.to_le_bytes());
+        bytes[8..].copy_from_slice(&instance.to_le_bytes());
+        let h = ((xxh3_64(&bytes) >> 12) as f64 + 0.5) / (1u64 << 52) as f64;
+        -1.0 / h.ln()
+    })
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -10,6 +10,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u64);
 
+impl std::fmt::Display for ServerId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 impl ServerId {
     /// The id of the server with this address.
     pub fn of(name: &str) -> Self {
@@ -32,6 +38,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
+impl std::fmt::Display for RequestId {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Where the effect of a keyed class is remembered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Scope {
@@ -278,6 +290,9 @@
     Load(RequestId, f64),
     /// The time that a message takes now at a server that holds a connection of this node.
     Delay(ServerId, Time),
+    /// A probe, here or at another node, has reached a server (`None`), or could not: until that time it is left
+    /// alone, unless a later probe reaches it.
+    Probed(ServerId, Option<Time>),
     /// The client has left; nothing is owed.
     Gone(RequestId),
     /// A timer fell due.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -208,6 +208,7 @@
                 self.last_note = Some(now);
                 self.noted(now, *server, delay / self.busy_at, out);
             }
+            Event::Probed(id, shut) => self.probed(now, *id, *shut),
             Event::Gone(id) => self.left(*id, out),
             Event::Timer(ASK) => out.push(Action::Watch),
             Event::Timer(WAKE) => {
@@ -215,7 +216,6 @@
                     self.attempt(now, id, out);
                 }
             }
-            // There is nothing that nodes tell each other.
             Event::Settings(_) | Event::Timer(_) | Event::Peer(_) => {}
         }
     }
@@ -455,10 +455,9 @@
             Some(Effect::Safe) | None => true,
         };
         let retry_after = self.config.max_retry_after.unwrap_or(0.0) * self.random();
-        out.push(if harmless {
-            Action::Refuse { id, retry_after }
-        } else {
-            Action::Fail(id)
+        out.push(match harmless {
+            true => Action::Refuse { id, retry_after },
+            false => Action::Fail(id),
         });
     }
 
@@ -629,11 +628,8 @@
         if level < 1.0 {
             return;
         }
-        let held = self
-            .find(id)
-            .into_iter()
-            .flat_map(|s| s.held.iter().copied());
-        let held: Vec<RequestId> = held.collect();
+        let held = self.find(id).map(|s| s.held.iter().copied().collect());
+        let held: Vec<RequestId> = held.unwrap_or_default();
         let count = held.len() as f64 * MOVE_RATE * ((level - 1.0) / (DROWNED - 1.0)).min(1.0);
         let here = held.iter().filter_map(|id| self.live.get(id));
         let mut heavy: Vec<&Live> = here.filter(|l| l.phase == Phase::Standing(id)).collect();
@@ -644,32 +640,39 @@
         out.extend(heavy.iter().map(|live| Action::Move(live.request.id)));
     }
 
+    /// A probe has reached a server, or not: then it is left alone until that time, or until one does.
+    fn probed(&mut self, now: Time, id: ServerId, shut: Option<Time>) {
+        let Some(server) = self.find(id) else { return };
+        if let Some(until) = shut {
+            server.shut_until = server.shut_until.max(until);
+            (server.failures, server.sick) = (server.failures.max(1), now);
+        } else if server.failures > 0 {
+            (server.failures, server.shut_until) = (0, now);
+        }
+    }
+
     /// The client left: an attempt that is still out is called off to spare the server.
     fn left(&mut self, id: RequestId, out: &mut Vec<Action>) {
         if let Some(live) = self.forget(id)
             && matches!(live.phase, Phase::Out(_))
             && self.config.may_cancel
         {
-            out.push(Action::Cancel {
-                id,
-                attempt: live.attempts - 1,
-            });
+            let attempt = live.attempts - 1;
+            out.push(Action::Cancel { id, attempt });
         }
     }
 }
 
 impl Live {
     fn new(now: Time, request: &Request, phase: Phase) -> Self {
-        let load = request.hint.unwrap_or(0.0);
-        let attempts = u32::from(phase != Phase::Held);
         Self {
             request: *request,
             phase,
-            attempts,
+            attempts: u32::from(phase != Phase::Held),
             tried: Vec::new(),
             sent: now,
             maybe_ran: None,
-            load,
+            load: request.hint.unwrap_or(0.0),
             errors: 0,
         }
     }
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,221 @@
+//! The command line: `serve`, and sub-commands that need no running process or ask one.
+
+use clap::{Args, Parser, Subcommand};
+use comfy_table::{Table, presets};
+use spanspur::config::{Node, When};
+use spanspur_cluster::control::{DutiesAnswer, MembersAnswer, ask};
+use spanspur_operator as operator;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A load balancer for long-lived connections, by weighted rendezvous hashing.
+///
+/// Without a sub-command it serves. BALANCER_CONFIG names its configuration; RUST_LOG chooses what is logged.
+#[derive(Parser)]
+#[command(
+    version,
+    after_help = "Start here: `spanspur check deploy/operator.json`, then \
+    `BALANCER_CONFIG=examples/config.json spanspur serve`. README tells the rest."
+)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+/// What to do.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Balance connections (also the default without a sub-command).
+    Serve(Serve),
+    /// Check an operator's file, or a balancer's configuration: every fault with its place; exit code 1 if any.
+    Check(Check),
+    /// Print the JSON schema of the operator's file.
+    Schema,
+    /// Who does which shared duty, when it was last done, and what was missed.
+    Duties(Asked),
+    /// Which instances are there, and what was dropped of what they sent.
+    Members(Asked),
+}
+
+/// How to serve.
+#[derive(Args, Clone, Default)]
+pub struct Serve {
+    /// The operator's file, which switches parts on; all are off without it. Read again at SIGHUP.
+    #[arg(long, value_name = "FILE", env = "SPANSPUR_OPERATOR")]
+    pub operator: Option<PathBuf>,
+}
+
+/// What to check.
+#[derive(Args)]
+pub struct Check {
+    /// The operator's file.
+    file: PathBuf,
+    /// It is a balancer's configuration (as BALANCER_CONFIG names one) instead.
+    #[arg(long)]
+    config: bool,
+}
+
+/// Whom to ask.
+#[derive(Args)]
+pub struct Asked {
+    /// The control socket of the running process.
+    #[arg(long, value_name = "PATH", required_unless_present = "operator")]
+    socket: Option<PathBuf>,
+    /// The operator's file of the running process, which names that socket.
+    #[arg(long, value_name = "FILE", env = "SPANSPUR_OPERATOR")]
+    operator: Option<PathBuf>,
+    /// Print JSON, for programs.
+    #[arg(long)]
+    json: bool,
+}
+
+impl Cli {
+    /// Carries a sub-command out; `Err` is how to serve.
+    pub fn run() -> Result<ExitCode, Serve> {
+        let done = match Self::parse().command {
+            None => {
+                // Without `serve` its variable counts all the same.
+                let operator =
+                    std::env::var_os("SPANSPUR_OPERATOR").filter(|path| !path.is_empty());
+                return Err(Serve {
+                    operator: operator.map(PathBuf::from),
+                });
+            }
+            Some(Command::Serve(serve)) => return Err(serve),
+            Some(Command::Check(check)) => check.run(),
+            Some(Command::Schema) => {
+                let schema = serde_json::to_string_pretty(&operator::schema());
+                schema
+                    .map(|text| println!("{text}"))
+                    .map_err(|e| e.to_string())
+            }
+            Some(Command::Duties(asked)) => asked.duties(),
+            Some(Command::Members(asked)) => asked.members(),
+        };
+        Ok(match done {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(what) => {
+                eprintln!("{what}");
+                ExitCode::FAILURE
+            }
+        })
+    }
+}
+
+impl Check {
+    fn run(&self) -> Result<(), String> {
+        let file = self.file.display();
+        let text = std::fs::read_to_string(&self.file).map_err(|e| format!("{file}: {e}"))?;
+        if self.config {
+            let node = Node::parse(text.as_bytes(), When::Start, |_| None);
+            node.map_err(|e| format!("{file}: {e}"))?;
+        } else {
+            operator::parse(&text).map_err(|faults| {
+                let lines: Vec<String> = faults.iter().map(|f| format!("{file}: {f}")).collect();
+                lines.join("\n")
+            })?;
+        }
+        println!("{file}: no fault");
+        Ok(())
+    }
+}
+
+impl Asked {
+    fn ask(&self, question: &str) -> Result<String, String> {
+        let socket = match (&self.socket, &self.operator) {
+            (Some(socket), _) => socket.clone(),
+            (None, Some(file)) => {
+                let text = std::fs::read_to_string(file)
+                    .map_err(|e| format!("{}: {e}", file.display()))?;
+                let read = operator::parse(&text).map_err(|f| operator::sentence(&f))?;
+                let control = read
+                    .control
+                    .ok_or("the operator's file has no key 'control.socket'")?;
+                control.socket
+            }
+            (None, None) => return Err("neither --socket nor --operator is given".into()),
+        };
+        ask(&socket, question).map_err(|e| {
+            format!(
+                "{}: {e}: is the process running, with this socket?",
+                socket.display()
+            )
+        })
+    }
+
+    fn duties(&self) -> Result<(), String> {
+        let text = self.ask("duties")?;
+        if self.json {
+            print!("{text}");
+            return Ok(());
+        }
+        let answer: DutiesAnswer = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+        let mut table = table([
+            "duty",
+            "every",
+            "holder",
+            "period",
+            "last",
+            "done here",
+            "missed",
+            "",
+        ]);
+        for row in &answer.duties {
+            table.add_row([
+                row.duty.clone(),
+                format!("{} ms", row.every_ms),
+                row.holder.clone().unwrap_or_else(|| "-".into()),
+                row.period.to_string(),
+                row.since_ms.map_or("-".into(), |ms| format!("{ms} ms ago")),
+                row.done.to_string(),
+                row.missed.to_string(),
+                if row.minority { "no majority" } else { "" }.to_owned(),
+            ]);
+        }
+        println!("{table}");
+        if answer.abstains_ms > 0 {
+            println!(
+                "this instance abstains from votes for up to {} ms more",
+                answer.abstains_ms
+            );
+        }
+        Ok(())
+    }
+
+    fn members(&self) -> Result<(), String> {
+        let text = self.ask("members")?;
+        if self.json {
+            print!("{text}");
+            return Ok(());
+        }
+        let answer: MembersAnswer = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+        let mut members = table(["instance", "address", "state", "votes"]);
+        for row in &answer.members {
+            let state = match (row.me, row.alive) {
+                (true, _) => "asked",
+                (_, true) => "there",
+                (_, false) => "gone",
+            };
+            let votes = if row.voter { "yes" } else { "no" };
+            members.add_row([
+                row.name.clone(),
+                row.address.to_string(),
+                state.into(),
+                votes.into(),
+            ]);
+        }
+        println!("{members}");
+        let mut counters = table(["counter", "so far"]);
+        for (name, count) in answer.counters.iter().filter(|(_, count)| **count > 0) {
+            counters.add_row([name.clone(), count.to_string()]);
+        }
+        println!("{counters}");
+        Ok(())
+    }
+}
+
+fn table<const N: usize>(head: [&str; N]) -> Table {
+    let mut table = Table::new();
+    table.load_style(presets::NOTHING).set_header(head);
+    table
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -182,7 +182,7 @@
             return Err("key 'settings': classes can only be added, after the others".into());
         }
         if self.listen != running.listen {
-            log::warn!("key 'listen' changes only with a restart");
+            tracing::warn!(key = "listen", "changes only with a restart");
             self.listen = running.listen;
         }
         Ok(self)
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,20 +1,26 @@
 //! The balancer on real sockets.
 #![forbid(unsafe_code)]
 
+mod cli;
 mod net;
 
+use cli::{Cli, Serve};
+use net::duties::Shared;
 use net::host::Host;
 use net::room::Room;
-use net::signals::Signals;
+use net::signals::{Reload, Signals};
 use net::{check, director, drain, req};
 use spanspur::api::ListKind;
 use spanspur::config::{Node, When};
+use spanspur_operator::{Format, Operator};
+use std::io::IsTerminal;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
+use tracing_subscriber::EnvFilter;
 
 /// Connections that wait to be accepted: a crowd may come at once.
 const BACKLOG: u32 = 1024;
@@ -22,42 +28,87 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let served = Node::from_env(When::Start).and_then(|node| {
+    let serve = match Cli::run() {
+        Ok(done) => return done,
+        Err(serve) => serve,
+    };
+    let operator = read_operator(&serve);
+    log_as(operator.as_ref().map_or(Format::Text, |o| o.log.format));
+    let both = operator.and_then(|operator| Ok((Node::from_env(When::Start)?, operator)));
+    let served = both.and_then(|(node, operator)| {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build();
         let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(node))
+        LocalSet::new().block_on(&runtime, run(node, operator, serve))
     });
     check::log_all();
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            log::error!("{what}");
+            tracing::error!("{what}");
             ExitCode::FAILURE
         }
     }
 }
 
-async fn run(mut node: Node) -> Result<(), String> {
+/// The operator's file, if one is given.
+pub fn read_operator(serve: &Serve) -> Result<Operator, String> {
+    let Some(path) = &serve.operator else {
+        return Ok(Operator::default());
+    };
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    spanspur_operator::parse(&text).map_err(|faults| {
+        format!(
+            "{}: {}",
+            path.display(),
+            spanspur_operator::sentence(&faults)
+        )
+    })
+}
+
+/// Starts the log, on standard error; what it holds is chosen by `RUST_LOG`, `info` where that is not set.
+fn log_as(format: Format) {
+    let chosen = std::env::var("RUST_LOG")
+        .ok()
+        .filter(|text| !text.is_empty());
+    let filter = EnvFilter::builder().parse_lossy(chosen.as_deref().unwrap_or("info"));
+    let log = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(std::io::stderr)
+        .with_ansi(std::io::stderr().is_terminal());
+    match format {
+        Format::Text => log.init(),
+        Format::Json => log.json().flatten_event(true).init(),
+    }
+}
+
+async fn run(mut node: Node, operator: Operator, serve: Serve) -> Result<(), String> {
     let signals = Signals::new().map_err(|e| format!("no signals: {e}"))?;
     let listener = listen(&node).map_err(|e| format!("key 'listen': {}: {e}", node.listen))?;
-    log::info!(
-        "{} listens on {}, {} servers known",
-        node.name,
-        node.listen,
-        node.known.members.len()
+    tracing::info!(
+        name = node.name,
+        address = %node.listen,
+        servers_known = node.known.members.len(),
+        "listens"
     );
     let known = std::mem::take(&mut node.known);
     let (discovery, watched) = watch::channel(node.discovery);
     let host = Rc::new(Host::new(node));
     // Versions start from 0: only a node that knows no server asks for the whole list.
-    let listed = Some(known.revision).filter(|_| !known.members.is_empty());
+    // One that watches for others has to know the whole list too, as discovery has it.
+    let ask_all = known.members.is_empty() || operator.duties.list.is_some();
+    let listed = Some(known.revision).filter(|_| !ask_all);
     host.list(ListKind::Cached, known);
-    spawn_local(director::run(host.clone(), watched, listed));
+    let shared = Shared::start(&host, &operator).await?;
+    let news = shared.as_ref().map(|shared| shared.news());
+    spawn_local(director::run(host.clone(), watched, listed, news));
     spawn_local(accept(host.clone(), listener));
-    signals.serve(&host, &discovery).await;
+    let reload = Reload::new(host.clone(), discovery, serve, operator, shared.clone());
+    signals.serve(reload).await;
+    if let Some(shared) = shared {
+        shared.leave();
+    }
     drain::run(host).await;
     Ok(())
 }
@@ -88,7 +139,7 @@
             }
             Err(e) => {
                 check::count("accepting failed");
-                log::debug!("accept: {e}");
+                tracing::debug!(error = %e, "accept");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/src/net/check.rs
+++ b/src/net/check.rs
@@ -25,7 +25,7 @@
     });
     // The log stays readable under a flood: powers of two only.
     if times.is_power_of_two() {
-        log::warn!("{what}: {times} so far");
+        tracing::warn!(counter = what, times, "so far");
     }
 }
 
@@ -33,7 +33,7 @@
 pub fn log_all() {
     BROKEN.with_borrow(|broken| {
         for (what, times) in broken {
-            log::info!("counter: {what}: {times}");
+            tracing::info!(counter = what, times, "in all");
         }
     });
 }
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -1,5 +1,6 @@
 //! The director: discovery's list, watched call by call on one kept-alive connection.
 
+use super::duties::ListNews;
 use super::host::Host;
 use super::http::{Connection, Response};
 use spanspur::api::{Event, ListKind};
@@ -27,6 +28,7 @@
     host: Rc<Host>,
     mut discovery: watch::Receiver<SocketAddr>,
     mut listed: Option<u64>,
+    news: Option<Rc<ListNews>>,
 ) {
     let mut at = *discovery.borrow_and_update();
     loop {
@@ -41,8 +43,12 @@
                 biased;
                 // The running watch is left at once: its discovery may fall silent or tell old news.
                 Ok(()) = discovery.changed() => {}
-                what = follow(&host, at, &mut listed) => {
-                    log::info!("the watch on discovery ends: {what}");
+                // Another instance watches for us: its news is taken until it is too old.
+                () = relieved(news.as_deref()) => {
+                    listed = outsourced(news.as_deref()).await.or(listed);
+                }
+                what = follow(&host, at, &mut listed, news.as_deref()) => {
+                    tracing::info!(what, discovery = %at, "the watch on discovery ends");
                     host.event(Event::ListFailed);
                     break;
                 }
@@ -51,8 +57,29 @@
     }
 }
 
+/// Waits until another instance's news makes our own watch needless.
+async fn relieved(news: Option<&ListNews>) {
+    match news {
+        Some(news) => news.relieved().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits until that news is too old: the revision to go on from.
+async fn outsourced(news: Option<&ListNews>) -> Option<u64> {
+    tracing::info!("another instance watches discovery for this one");
+    let since = news?.stale().await;
+    tracing::info!("this instance watches discovery itself");
+    since
+}
+
 /// Takes list after list, until a call fails: says why.
-async fn follow(host: &Rc<Host>, at: SocketAddr, listed: &mut Option<u64>) -> String {
+async fn follow(
+    host: &Rc<Host>,
+    at: SocketAddr,
+    listed: &mut Option<u64>,
+    news: Option<&ListNews>,
+) -> String {
     let mut kept = None;
     loop {
         let (path, wait) = match listed {
@@ -75,11 +102,11 @@
             Ok(list) => list,
             Err(what) => return what,
         };
-        log::debug!(
-            "revision {}, complete {}, {} entries",
-            list.revision,
-            list.complete,
-            list.members.len()
+        tracing::debug!(
+            revision = list.revision,
+            complete = list.complete,
+            entries = list.members.len(),
+            "a list"
         );
         *listed = Some(list.revision);
         let kind = if list.complete {
@@ -87,6 +114,9 @@
         } else {
             ListKind::Delta
         };
+        if let Some(news) = news {
+            news.watched(&list);
+        }
         host.list(kind, list);
         sleep(PAUSE).await;
     }
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -23,7 +23,7 @@
 pub async fn run(host: Rc<Host>) {
     let longest_wait = duration(host.node().longest_wait);
     host.leaving.set(true);
-    log::info!("told to stop: {} connections stand", host.reqs(true).len());
+    tracing::info!(standing = host.reqs(true).len(), "told to stop");
     let start = Instant::now();
     let kill = start + longest_wait.min(LONGEST_WAIT) + GRACE;
     let moves_end = start + ARRIVALS + SPREAD;
--- /dev/null
+++ b/src/net/duties/mod.rs
@@ -0,0 +1,199 @@
+//! What balancers of one cluster do for each other: probes and the watch on discovery, each done by one instance.
+//! All of it is off unless the operator's file has the section `cluster`.
+
+mod list;
+mod probe;
+
+pub use list::ListNews;
+
+use super::host::Host;
+use list::ListDuty;
+use probe::{ProbeDuty, Probed};
+use spanspur::api::{Event, ServerId};
+use spanspur::{api, score};
+use spanspur_cluster::control;
+use spanspur_cluster::{Cluster, Duty, Handle, Setup};
+use spanspur_duties::board::Entry;
+use spanspur_duties::division::Ranking;
+use spanspur_membership::{Identity, Key, Keys, Pace};
+use spanspur_operator::Operator;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+/// A server that no probe reaches is left alone for so many periods, unless the next probes say otherwise.
+const HOLDS_PERIODS: f64 = 2.25;
+
+/// This instance's part in the cluster.
+pub struct Shared {
+    host: Rc<Host>,
+    handle: Handle,
+    name: Rc<str>,
+    operator: RefCell<Operator>,
+    news: Rc<ListNews>,
+    /// The servers that are probed, by their key on the board.
+    probed: RefCell<BTreeMap<u64, ServerId>>,
+}
+
+impl Shared {
+    /// Joins the cluster that the operator's file names; `None` if it names none.
+    pub async fn start(host: &Rc<Host>, operator: &Operator) -> Result<Option<Rc<Self>>, String> {
+        let Some(cluster) = &operator.cluster else {
+            return Ok(None);
+        };
+        let node = host.node();
+        let name = cluster.name.clone().unwrap_or_else(|| node.name.clone());
+        if name.is_empty() {
+            return Err("cluster.name: is missing, and the balancer has no name either".into());
+        }
+        if !cluster.voters.contains(&name) {
+            tracing::warn!(
+                name,
+                "this instance is not among cluster.voters: it votes on no duty"
+            );
+        }
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let setup = Setup {
+            me: Identity {
+                name: name.clone(),
+                address: cluster.listen,
+                boot: unix.unwrap_or_default().as_millis() as u64,
+                renewed: 0,
+            },
+            keys: keys(&cluster.keys),
+            seeds: cluster.seeds.clone(),
+            voters: cluster.voters.clone(),
+            skew: cluster.clock_skew_ms,
+            pace: Pace {
+                probe: Duration::from_millis(cluster.pace.probe_ms),
+                answer: Duration::from_millis(cluster.pace.answer_ms),
+                suspicion: Duration::from_millis(cluster.pace.suspicion_ms),
+            },
+            ranking: Ranking(|duty, instance| score(api::Key(duty), ServerId(instance), 1.0)),
+            seed: node.seed ^ api::Key::of("cluster").0,
+        };
+        let started = Cluster::start(setup).await;
+        let (handle, fresh) =
+            started.map_err(|e| format!("cluster.listen: {}: {e}", cluster.listen))?;
+        if let Some(control) = &operator.control {
+            control::serve(handle.clone(), &control.socket)
+                .map_err(|e| format!("control.socket: {}: {e}", control.socket.display()))?;
+        }
+        tracing::info!(instance = name, address = %cluster.listen, "joins its cluster");
+        let shared = Rc::new(Self {
+            host: host.clone(),
+            news: Rc::new(ListNews::new(handle.clone())),
+            handle,
+            name: name.into(),
+            operator: RefCell::new(operator.clone()),
+            probed: RefCell::default(),
+        });
+        spawn_local(shared.clone().take_news(fresh));
+        spawn_local(shared.clone().follow_list());
+        Ok(Some(shared))
+    }
+
+    /// Discovery's list, as it goes from one instance to the others.
+    pub fn news(&self) -> Rc<ListNews> {
+        self.news.clone()
+    }
+
+    /// Takes the operator's settings over, which were checked before.
+    pub fn configure(&self, operator: Operator) {
+        if let Some(cluster) = &operator.cluster {
+            self.handle
+                .rekey(keys(&cluster.keys), cluster.seeds.clone());
+        }
+        self.operator.replace(operator);
+        self.register();
+    }
+
+    /// Gives all duties back: the process leaves.
+    pub fn leave(&self) {
+        self.news.stop();
+        self.handle.leave();
+    }
+
+    /// The duties follow the list of servers.
+    async fn follow_list(self: Rc<Self>) {
+        loop {
+            self.register();
+            self.host.listed.notified().await;
+        }
+    }
+
+    fn register(&self) {
+        if self.host.leaving.get() {
+            return;
+        }
+        let operator = self.operator.borrow();
+        let mut duties: Vec<Rc<dyn Duty>> = Vec::new();
+        let mut probed = BTreeMap::new();
+        if let Some(settings) = &operator.duties.probe {
+            for (server, address) in self.host.addresses() {
+                let duty = ProbeDuty {
+                    server,
+                    address,
+                    settings: settings.clone(),
+                    instance: self.name.clone(),
+                    handle: self.handle.clone(),
+                };
+                probed.insert(duty.key(), server);
+                duties.push(Rc::new(duty));
+            }
+        }
+        let list = operator.duties.list.as_ref();
+        self.news.configure(list.map(|l| l.max_age_ms));
+        if let Some(settings) = list {
+            duties.push(Rc::new(ListDuty {
+                every_ms: settings.every_ms,
+                news: self.news.clone(),
+            }));
+        }
+        // Servers that are gone leave nothing behind.
+        let news = &self.news;
+        self.handle.with(|node, _| {
+            node.board_mut()
+                .retain(|e| probed.contains_key(&e.key) || news.is_ours(e));
+        });
+        self.probed.replace(probed);
+        drop(operator);
+        self.handle.duties(duties);
+    }
+
+    /// What other instances have found, and this one itself, goes into the decisions.
+    async fn take_news(self: Rc<Self>, mut fresh: mpsc::Receiver<Entry>) {
+        while let Some(entry) = fresh.recv().await {
+            if let Some(list) = self.news.take(&entry) {
+                self.host.list(api::ListKind::Delta, list);
+                continue;
+            }
+            let server = self.probed.borrow().get(&entry.key).copied();
+            if let (Some(server), Ok(probed)) = (server, Probed::read(&entry.value)) {
+                self.probe_told(server, probed);
+            }
+        }
+    }
+
+    fn probe_told(&self, server: ServerId, probed: Probed) {
+        let every = match &self.operator.borrow().duties.probe {
+            Some(probe) => probe.every_ms as f64 / 1000.0,
+            None => return,
+        };
+        tracing::debug!(%server, ?probed, "probed");
+        let shut = probed
+            .is_down()
+            .then(|| self.host.now() + every * HOLDS_PERIODS);
+        self.host.event(Event::Probed(server, shut));
+        if let Probed::Answered { ms } | Probed::Slow { ms } = probed {
+            self.host.message_took(server, f64::from(ms) / 1000.0);
+        }
+    }
+}
+
+fn keys(secrets: &[String]) -> Keys {
+    Keys(secrets.iter().map(|s| Key::new(s.as_bytes())).collect())
+}
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -49,6 +49,8 @@
     anchor: (Instant, Time),
     /// Wakes the director.
     pub watch: Notify,
+    /// The list of servers has changed.
+    pub listed: Notify,
     /// The process is told to stop.
     pub leaving: Cell<bool>,
     node: RefCell<Rc<Node>>,
@@ -81,6 +83,7 @@
             state: RefCell::new(state),
             anchor: (Instant::now(), unix.unwrap_or_default().as_secs_f64()),
             watch: Notify::new(),
+            listed: Notify::new(),
             leaving: Cell::new(false),
             node: RefCell::new(Rc::new(node)),
         }
@@ -119,7 +122,7 @@
         balancer.handle(now, &event, actions);
         let mut actions = std::mem::take(&mut state.actions);
         for action in actions.drain(..) {
-            log::trace!("{action:?}");
+            tracing::trace!(?action);
             match action {
                 Action::Send { id, server, until } => state.order(id, Order::Send(server, until)),
                 Action::Refuse { id, retry_after } => {
@@ -131,7 +134,7 @@
                 Action::Watch => self.watch.notify_one(),
                 Action::Tell { .. } => check::count("peers are not spoken to"),
                 Action::Timer { after, token } => self.wake(after, token),
-                Action::Log(text) => log::info!("{text}"),
+                Action::Log(text) => tracing::info!("{text}"),
             }
         }
         state.actions = actions;
@@ -149,7 +152,7 @@
     /// Takes a list from discovery: first the addresses, then the module.
     pub fn list(self: &Rc<Self>, kind: ListKind, list: List) {
         if let Some(entry) = list.unusable {
-            log::warn!("discovery names an address that cannot be used: {entry}");
+            tracing::warn!(entry, "discovery names an address that cannot be used");
         }
         let mut state = self.state.borrow_mut();
         let addresses = &mut state.addresses;
@@ -161,13 +164,14 @@
                 MemberState::Gone => drop(addresses.remove(&member.id)),
                 state => drop(addresses.insert(member.id, (state, *address))),
             }
-            log::debug!("listed {:?} at {address}", member);
+            tracing::debug!(?member, %address, "listed");
         }
         let members = list.members.into_iter().map(|(member, _)| member);
         let event = Event::List(kind, members.collect());
         // The module's turn takes the state again.
         drop(state);
         self.event(event);
+        self.listed.notify_one();
     }
 
     /// The address of a listed backend.
@@ -175,6 +179,12 @@
         self.state.borrow().addresses.get(&server).map(|at| at.1)
     }
 
+    /// All listed backends with their addresses.
+    pub fn addresses(&self) -> Vec<(ServerId, SocketAddr)> {
+        let state = self.state.borrow();
+        state.addresses.iter().map(|(id, at)| (*id, at.1)).collect()
+    }
+
     /// Whether the director still says that this backend takes new work.
     pub fn takes_new(&self, server: ServerId) -> bool {
         let state = self.state.borrow();
@@ -243,7 +253,7 @@
         let now = self.now();
         let event = self.state.borrow_mut().delays.measured(now, server, took);
         if let Some(event) = event {
-            log::debug!("{event:?}");
+            tracing::debug!(?event, "a backend is slow, or clear again");
             self.event(event);
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod delay;
 pub mod director;
 pub mod drain;
+pub mod duties;
 pub mod fetch;
 pub mod host;
 pub mod http;
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -202,7 +202,7 @@
                 Some(Order::Move) => {}
                 Some(order) => {
                     check::holds(false, "a standing connection gets no order but to move");
-                    log::warn!("{order:?} for a standing connection");
+                    tracing::warn!(?order, "for a standing connection");
                 }
                 None => return,
             },
@@ -322,12 +322,12 @@
             if at < skip {
                 continue;
             }
-            log::trace!(
-                "{:?} at {:?} said {:?}, asked {:?} ago",
-                self.id,
-                self.server,
-                String::from_utf8_lossy(line),
-                self.asked.front().map(Instant::elapsed)
+            tracing::trace!(
+                req = %self.id,
+                server = %self.server,
+                line = %String::from_utf8_lossy(line),
+                asked_ago = ?self.asked.front().map(Instant::elapsed),
+                "a backend said"
             );
             match Said::parse(line) {
                 Said::Load(load) => self.host.event(Event::Load(self.id, load)),
@@ -374,7 +374,7 @@
     /// The backend's side is over: the module hears it once.
     fn over(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.told, true) {
-            log::debug!("{:?} at {:?} is over: {outcome:?}", self.id, self.server);
+            tracing::debug!(req = %self.id, server = %self.server, ?outcome, "is over");
             let (id, server, attempt) = (self.id, self.server, self.attempt);
             self.host.event(Event::Ended(Ended {
                 id,
@@ -389,7 +389,7 @@
     /// The client has left.
     fn gone(&mut self) {
         if !std::mem::replace(&mut self.told, true) {
-            log::debug!("{:?} at {:?}: the client left", self.id, self.server);
+            tracing::debug!(req = %self.id, server = %self.server, "the client left");
             self.host.event(Event::Gone(self.id));
         }
     }
--- a/src/net/req.rs
+++ b/src/net/req.rs
@@ -96,7 +96,7 @@
 /// A first line that cannot be read costs this connection and nothing else.
 fn unread(what: &str) -> Opened {
     check::count("a client's first line cannot be read");
-    log::debug!("first line: {what}");
+    tracing::debug!(what, "a first line is not read");
     failed()
 }
 
@@ -197,13 +197,13 @@
         };
         match ended {
             Ok(backend) => {
-                log::debug!("{id:?} stands at {server:?}");
+                tracing::debug!(req = %id, server = %server, attempt, "stands");
                 host.event(Event::Standing(id, server));
                 host.stands(id);
                 return Opened::Stands(ticket, (id, server, attempt), backend, orders);
             }
             Err(outcome) => {
-                log::debug!("{id:?} attempt {attempt} at {server:?}: {outcome:?}");
+                tracing::debug!(req = %id, server = %server, attempt, ?outcome, "an attempt has ended");
                 host.event(Event::Ended(Ended {
                     id,
                     attempt,
@@ -250,9 +250,11 @@
                 Ok(backend) => return Some(backend),
                 Err(outcome) => outcome,
             };
-        log::warn!(
-            "{:?} is not open at {server:?}: {outcome:?}",
-            opening.request.id
+        tracing::warn!(
+            req = %opening.request.id,
+            server = %server,
+            ?outcome,
+            "is not open there"
         );
         // The backend's own word stands; a server that nobody knows is not worth the whole wait.
         let said = matches!(outcome, Outcome::Error | Outcome::Full | Outcome::Cancelled);
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,7 +1,11 @@
 //! The signals of the process: SIGHUP takes over the configuration as it is now, SIGTERM ends it.
 
+use super::duties::Shared;
 use super::host::Host;
+use crate::cli::Serve;
+use crate::read_operator;
 use spanspur::config::{Node, When};
+use spanspur_operator::Operator;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -24,27 +28,68 @@
     }
 
     /// Carries out each SIGHUP; returns at SIGTERM.
-    pub async fn serve(mut self, host: &Rc<Host>, discovery: &watch::Sender<SocketAddr>) {
+    pub async fn serve(mut self, mut reload: Reload) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
-                _ = self.hangup.recv() => reload(host, discovery),
+                _ = self.hangup.recv() => reload.carry_out(),
             }
         }
     }
 }
 
-/// All or nothing: a file that cannot be read or is wrong must not take the old state with it.
-fn reload(host: &Rc<Host>, discovery: &watch::Sender<SocketAddr>) {
-    let read = Node::from_env(When::Reload).and_then(|node| node.replace(&host.node()));
-    match read {
-        Ok(node) => {
-            log::info!("reloaded: discovery is at {}", node.discovery);
-            // First the place, then the module's wish to watch it.
-            discovery
-                .send_if_modified(|at| std::mem::replace(at, node.discovery) != node.discovery);
-            host.configure(node);
+/// What SIGHUP takes over, and from where.
+pub struct Reload {
+    host: Rc<Host>,
+    discovery: watch::Sender<SocketAddr>,
+    serve: Serve,
+    operator: Operator,
+    shared: Option<Rc<Shared>>,
+}
+
+impl Reload {
+    /// What runs now.
+    pub fn new(
+        host: Rc<Host>,
+        discovery: watch::Sender<SocketAddr>,
+        serve: Serve,
+        operator: Operator,
+        shared: Option<Rc<Shared>>,
+    ) -> Self {
+        Self {
+            host,
+            discovery,
+            serve,
+            operator,
+            shared,
+        }
+    }
+
+    /// All or nothing: a file that cannot be read or is wrong must not take the old state with it, nor the other
+    /// file's news.
+    fn carry_out(&mut self) {
+        let (node, operator) = match self.read() {
+            Ok(both) => both,
+            Err(what) => return tracing::error!(what, "not reloaded, all stays as it was"),
+        };
+        tracing::info!(discovery = %node.discovery, "reloaded");
+        // First the place, then the module's wish to watch it.
+        self.discovery
+            .send_if_modified(|at| std::mem::replace(at, node.discovery) != node.discovery);
+        self.host.configure(node);
+        if let Some(shared) = &self.shared {
+            shared.configure(operator.clone());
+        }
+        self.operator = operator;
+    }
+
+    fn read(&self) -> Result<(Node, Operator), String> {
+        let node = Node::from_env(When::Reload).and_then(|node| node.replace(&self.host.node()))?;
+        let operator = read_operator(&self.serve)?;
+        let faults = self.operator.fixed(&operator);
+        match faults.is_empty() {
+            true => Ok((node, operator)),
+            false => Err(spanspur_operator::sentence(&faults)),
         }
-        Err(what) => log::error!("not reloaded, all stays as it was: {what}"),
     }
 }
