Try before preparing, and win voters back: no duty waits behind voters that lag

Cause: in virtual time, after a cut, two voters that had missed votes held the sound holder for late and prepared with ever higher ballots; each promise made them refuse the holder's next period.

Change: a claimant first asks whether it would be given the duty (a trial changes nothing at the voter), and a holder that hears a late no takes a higher ballot at once.

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -299,6 +299,11 @@
         self.duties.status(now).filter_map(named).collect()
     }
 
+    /// All that is kept of a duty here, for whoever looks for a fault.
+    pub fn describe(&self, duty: DutyId) -> String {
+        self.duties.describe(duty)
+    }
+
     /// The name of a duty.
     pub fn duty_name(&self, duty: DutyId) -> &str {
         self.names.get(&duty).map_or("?", String::as_str)
--- a/crates/duties/src/claim.rs
+++ b/crates/duties/src/claim.rs
@@ -13,6 +13,9 @@
 pub enum Stage {
     /// It claims nothing.
     Idle,
+    /// It has asked whether it would be given the right. One that cannot win it, since a majority knows the holder to
+    /// be in time, must not make voters refuse that holder (as with Raft's pre-vote; Ongaro, 2014, section 9.6).
+    Trying,
     /// It has asked for the right.
     Preparing,
     /// It has the right and waits for the next period.
@@ -26,6 +29,8 @@
 pub enum Step {
     /// Nothing yet.
     None,
+    /// It would be given the right.
+    MayPrepare,
     /// It has the right: the floor, and how long ago the youngest vote was that anyone told of.
     Holds {
         /// The youngest vote's age.
@@ -90,6 +95,12 @@
         self.answers.clear();
     }
 
+    /// Asks whether it would be given the right; the ballot is used for nothing else.
+    pub fn attempt(&mut self, now: Millis, by: u64, boot: u64) {
+        self.prepare(now, by, boot);
+        self.stage = Stage::Trying;
+    }
+
     /// Proposes the next period.
     pub fn propose(&mut self, now: Millis) {
         self.period = self.period.max(self.floor) + 1;
@@ -111,19 +122,30 @@
     /// Takes a voter's answer; `voters` is how many there are.
     pub fn answer(&mut self, voter: u64, item: &Item, voters: usize) -> Step {
         let majority = voters / 2 + 1;
+        // A no that comes after the majority's yes: this voter is to be won back with a higher ballot.
+        if let (Item::Refused { ballot, held, .. }, Stage::Holding) = (item, &self.stage)
+            && *ballot == self.ballot
+            && *held > self.ballot
+        {
+            self.seen = self.seen.max(held.count);
+            self.outvoted = true;
+            return Step::None;
+        }
         let answer = match (item, &self.stage) {
             (
                 Item::Promise {
                     ballot,
                     floor,
                     since,
+                    held,
                     ..
                 },
                 stage,
             ) if *ballot == self.ballot => {
                 self.floor = self.floor.max(*floor);
+                self.seen = self.seen.max(held.count);
                 // A voter without memory has promised late: its floor counts from the next period on.
-                if *stage != Stage::Preparing {
+                if !matches!(stage, Stage::Preparing | Stage::Trying) {
                     return Step::None;
                 }
                 Ok(*since)
@@ -142,7 +164,7 @@
                     wait,
                     ..
                 },
-                Stage::Preparing | Stage::Claiming,
+                Stage::Trying | Stage::Preparing | Stage::Claiming,
             ) if *ballot == self.ballot => {
                 if *held > self.ballot {
                     self.seen = self.seen.max(held.count);
@@ -166,6 +188,7 @@
             let ages = self.answers.values().filter_map(|a| a.ok().flatten());
             let since = ages.min();
             let step = match self.stage {
+                Stage::Trying => Step::MayPrepare,
                 Stage::Preparing => Step::Holds { since },
                 _ => Step::Won,
             };
--- a/crates/duties/src/instance.rs
+++ b/crates/duties/src/instance.rs
@@ -270,6 +270,11 @@
         })
     }
 
+    /// All that is kept of a duty here, for whoever looks for a fault.
+    pub fn describe(&self, id: DutyId) -> String {
+        format!("{:?} {:?}", self.duties.get(&id), self.voter.slot(id))
+    }
+
     /// How long this instance still abstains from votes on a duty with this period.
     pub fn abstains(&self, now: Now, every: Millis) -> Millis {
         self.voter.abstains(now, every)
@@ -320,12 +325,18 @@
                         duty: id,
                         ballot,
                         every,
+                        trial: false,
                     };
                     return self.say(now, from, ask);
                 }
                 let voters = duty.panel.len();
                 let step = duty.claim.answer(from.0, item, voters);
-                self.step(now, id, step);
+                if step != Step::None {
+                    return self.step(now, id, step);
+                }
+                if duty.claim.stage == Stage::Holding && duty.claim.outvoted {
+                    self.ask(now, id);
+                }
             }
         }
     }
@@ -338,6 +349,7 @@
         };
         match step {
             Step::None => {}
+            Step::MayPrepare => self.ask(now, id),
             Step::Holds { since } => {
                 duty.due = match since {
                     Some(age) => {
@@ -420,7 +432,7 @@
                     return;
                 };
                 if duty.first == Some(me) || late.is_some_and(|late| late <= now.mono) {
-                    self.ask(now, id);
+                    self.attempt(now, id);
                 } else {
                     self.look(now, id);
                 }
@@ -430,7 +442,7 @@
                 duty.asks = 0;
                 self.send_claim(now, id);
             }
-            Stage::Preparing | Stage::Claiming => {
+            Stage::Trying | Stage::Preparing | Stage::Claiming => {
                 duty.asks += 1;
                 let end = duty.claim.sent + duty.every - duty.every / REST_SHARE;
                 if duty.asks < ASKS && now.mono < end {
@@ -445,6 +457,16 @@
         }
     }
 
+    /// Asks whether a duty would be given to this instance.
+    fn attempt(&mut self, now: Now, id: DutyId) {
+        let (me, boot) = (self.settings.me.0, self.settings.boot);
+        if let Some(duty) = self.duties.get_mut(&id) {
+            duty.claim.attempt(now.mono, me, boot);
+            duty.asks = 0;
+            self.send_claim(now, id);
+        }
+    }
+
     /// Asks for the right to a duty.
     fn ask(&mut self, now: Now, id: DutyId) {
         let (me, boot) = (self.settings.me.0, self.settings.boot);
@@ -463,10 +485,11 @@
         let (claim, every) = (&duty.claim, duty.every);
         let (ballot, period) = (claim.ballot, claim.period);
         let item = match claim.stage {
-            Stage::Preparing => Item::Prepare {
+            Stage::Trying | Stage::Preparing => Item::Prepare {
                 duty: id,
                 ballot,
                 every,
+                trial: claim.stage == Stage::Trying,
             },
             _ => Item::Accept {
                 duty: id,
--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -100,6 +100,8 @@
         ballot: Ballot,
         /// Its period.
         every: Millis,
+        /// Only asked whether it would be given: nothing is promised yet.
+        trial: bool,
     },
     /// Yes, and nobody lower from now on.
     Promise {
@@ -111,6 +113,8 @@
         floor: u64,
         /// How long ago it voted for that one; `None` where it remembers no vote.
         since: Option<Millis>,
+        /// What it had promised before.
+        held: Ballot,
     },
     /// Is this period mine?
     Accept {
--- a/crates/duties/src/vote.rs
+++ b/crates/duties/src/vote.rs
@@ -89,7 +89,8 @@
                 duty,
                 ballot,
                 every,
-            } => Some(self.prepare(now, duty, ballot, every, alive)),
+                trial,
+            } => Some(self.prepare(now, duty, ballot, every, trial, alive)),
             Item::Accept {
                 duty,
                 ballot,
@@ -113,6 +114,7 @@
         duty: DutyId,
         ballot: Ballot,
         every: Millis,
+        trial: bool,
         alive: &BTreeSet<InstanceId>,
     ) -> Item {
         let abstains = self.abstains(now, every);
@@ -132,15 +134,17 @@
             return refused(Why::Full, Ballot::default(), 0, every);
         }
         // Nothing remembered: the time stands for what was forgotten.
-        let slot = self.slots.entry(duty).or_insert(Slot {
+        let blank = Slot {
             promised: Ballot::default(),
             last: now.wall,
             at: None,
             every,
             free: true,
             touched: now.mono,
-        });
-        if ballot < slot.promised {
+        };
+        let slot = self.slots.get(&duty).unwrap_or(&blank);
+        // One that only tries does not know the ballots yet.
+        if ballot < slot.promised && !trial {
             return refused(Why::Outvoted, slot.promised, slot.last, every / 8);
         }
         let holder = slot.promised.by;
@@ -150,14 +154,19 @@
         if holder != ballot.by && !slot.free && !absent && late > 0 {
             return refused(Why::Held, slot.promised, slot.last, late);
         }
-        (slot.promised, slot.free, slot.every) = (ballot, false, every);
-        slot.touched = now.mono;
-        Item::Promise {
+        let promise = Item::Promise {
             duty,
             ballot,
             floor: slot.last,
             since: slot.at.map(|at| now.mono.saturating_sub(at)),
+            held: slot.promised,
+        };
+        if !trial {
+            let slot = self.slots.entry(duty).or_insert(blank);
+            (slot.promised, slot.free, slot.every) = (ballot, false, every);
+            slot.touched = now.mono;
         }
+        promise
     }
 
     fn accept(
