--- a/crates/duties/src/lib.rs
+++ b/crates/duties/src/lib.rs
@@ -73,7 +73,7 @@
 }
 
 /// Why a voter refuses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Why {
     /// It has restarted and may have forgotten votes that still run.
     Abstains,
@@ -90,7 +90,7 @@
 }
 
 /// What claimants and voters say to each other about one duty. Many travel in one datagram.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Item {
     /// May I have the duty?
     Prepare {
--- /dev/null
+++ b/tests/cluster/main.rs
@@ -0,0 +1,291 @@
+//! Shared duties among real processes on loopback: killed, frozen, cut off, reloaded. What counts is the stand-in
+//! servers' own record.
+
+mod rig;
+
+use rig::*;
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+const EVERY: Duration = Duration::from_millis(2000);
+const PROBE: &str = r#"{"probe":{"every_ms":2000,"connect_ms":200,"answer_ms":300,"line":"PROBE {period} {instance}","expect":"PONG"}}"#;
+
+fn servers(count: usize) -> Vec<Server> {
+    (0..count).map(|n| Server::new(&format!("s-{n}"))).collect()
+}
+
+fn serving(servers: &[Server]) -> Vec<String> {
+    servers
+        .iter()
+        .map(|server| server.entry("SERVING"))
+        .collect()
+}
+
+fn all_probed(servers: &[Server]) -> bool {
+    servers
+        .iter()
+        .all(|s| s.acts.lock().expect("whole").len() > 1)
+}
+
+/// Twice or missed, by the servers' record: a sentence for each.
+fn faults(servers: &[Server], from: Instant, until: Instant) -> Vec<String> {
+    let mut faults = Vec::new();
+    for server in servers {
+        let acts = server.acts.lock().expect("whole").clone();
+        let mut seen: BTreeMap<u64, &str> = BTreeMap::new();
+        for (_, period, by) in &acts {
+            if let Some(first) = seen.insert(*period, by) {
+                faults.push(format!(
+                    "{}: period {period} by {first} and {by}",
+                    server.id
+                ));
+            }
+        }
+        let mut highest = 0;
+        let mut last = from;
+        let in_time = acts.iter().filter(|(at, ..)| *at >= from && *at <= until);
+        let kept = in_time.filter(|(_, period, _)| {
+            let newer = *period > highest;
+            highest = highest.max(*period);
+            newer
+        });
+        for at in kept.map(|(at, ..)| *at).chain([until]) {
+            // One may be missed, and the next comes as late as a take-over takes.
+            if at - last > EVERY * 3 {
+                let (a, b) = ((last - from).as_millis(), (at - from).as_millis());
+                faults.push(format!("{}: nothing from {a} to {b} ms", server.id));
+            }
+            last = at;
+        }
+    }
+    faults
+}
+
+#[test]
+fn forty_duties_of_five_instances_that_are_killed_frozen_and_restarted() {
+    let servers = servers(40);
+    let discovery = Discovery::new(serving(&servers));
+    let mut cluster = Cluster::new(5, discovery, PROBE);
+    wait_until("every server is probed", || all_probed(&servers));
+    let from = Instant::now();
+    let pause = |periods: u32| std::thread::sleep(EVERY * periods);
+
+    cluster.kill(0);
+    pause(4);
+    cluster.start(0);
+    pause(3);
+    // Frozen for three periods and more, then let go.
+    cluster.signal(1, "-STOP");
+    pause(4);
+    cluster.signal(1, "-CONT");
+    pause(2);
+    // Two, 50 ms apart.
+    cluster.kill(2);
+    std::thread::sleep(Duration::from_millis(50));
+    cluster.kill(3);
+    pause(4);
+    cluster.start(2);
+    cluster.start(3);
+    pause(3);
+    // One leaves in order: its duties go on without a gap.
+    cluster.signal(4, "-TERM");
+    assert_eq!(cluster.ended(4), Some(0));
+    pause(2);
+
+    let found = faults(&servers, from, Instant::now());
+    assert!(
+        found.is_empty(),
+        "{found:#?}\nlogs: {}",
+        cluster.folder.display()
+    );
+    let answer = cluster.ask(0, "duties").expect("an answer");
+    let rows = answer["duties"].as_array().expect("rows");
+    assert_eq!(rows.len(), 40);
+    assert!(
+        rows.iter()
+            .all(|row| row["every_ms"] == 2000 && row["period"].as_u64() > Some(0))
+    );
+    let members = cluster.ask(0, "members").expect("an answer");
+    let alive = members["members"]
+        .as_array()
+        .expect("rows")
+        .iter()
+        .filter(|m| m["alive"] == true);
+    assert_eq!(alive.count(), 4, "{members}");
+    let shown = cluster.show(0, "duties");
+    assert!(
+        shown.contains("holder") && shown.contains("probe/"),
+        "{shown}"
+    );
+}
+
+#[test]
+fn a_server_that_hangs_is_avoided_by_all_though_one_probed_it() {
+    let servers = servers(2);
+    let discovery = Discovery::new(serving(&servers));
+    let cluster = Cluster::new(3, discovery, PROBE);
+    wait_until("every server is probed", || all_probed(&servers));
+    // Found by its answers to clients: the key that leads to the first server.
+    let key = (0..100).map(|n| format!("{n:016x}")).find(|key| {
+        let before = servers[0].opened.load(Ordering::Relaxed);
+        cluster.open(0, 0xa000, key);
+        servers[0].opened.load(Ordering::Relaxed) > before
+    });
+    let key = key.expect("a key for each server");
+    servers[0].hangs.store(true, Ordering::Relaxed);
+    // One period and 500 ms, and the wait for the probe's own answer.
+    std::thread::sleep(EVERY + Duration::from_millis(500 + 300));
+    for i in 0..3 {
+        let start = Instant::now();
+        let answer = cluster.open(i, 0xb000 + i as u64, &key);
+        assert_eq!(answer, "UP r1\r\n", "instance {i}");
+        // Whoever tries the silent server first waits for it for an aim or more.
+        assert!(
+            start.elapsed() < Duration::from_millis(400),
+            "instance {i}: {:?}",
+            start.elapsed()
+        );
+    }
+    servers[0].hangs.store(false, Ordering::Relaxed);
+    let before = servers[0].opened.load(Ordering::Relaxed);
+    wait_until("it is used again", || {
+        cluster.open(1, 0xc000, &key);
+        servers[0].opened.load(Ordering::Relaxed) > before
+    });
+}
+
+#[test]
+fn one_watches_discovery_for_all_and_the_rest_ask_when_its_news_is_old() {
+    let servers = servers(3);
+    let discovery = Discovery::new(serving(&servers));
+    let duties = r#"{"list":{"every_ms":2500,"max_age_ms":1500}}"#;
+    let mut cluster = Cluster::new(3, discovery.clone(), duties);
+    let relieved = |cluster: &Cluster| -> Vec<usize> {
+        (0..3)
+            .filter(|i| {
+                let log = cluster.log(*i);
+                let on = log.rfind("another instance watches discovery");
+                on.is_some() && on > log.rfind("this instance watches discovery itself")
+            })
+            .collect()
+    };
+    wait_until("two of three are relieved", || {
+        relieved(&cluster).len() == 2
+    });
+    let others = relieved(&cluster);
+    let leader = (0..3).find(|i| !others.contains(i)).expect("one watches");
+    // A drain told to the one that watches is kept by all within 300 ms.
+    let mut entries = serving(&servers);
+    entries[1] = servers[1].entry("DRAINING");
+    entries.remove(2);
+    discovery.tell(entries.clone());
+    std::thread::sleep(Duration::from_millis(300));
+    let told = [1, 2].map(|n: usize| servers[n].opened.load(Ordering::Relaxed));
+    for i in 0..3 {
+        for n in 0..8 {
+            assert_eq!(
+                cluster.open(i, 0xd000 + n, &format!("{n:x}")),
+                "UP r1\r\n",
+                "instance {i}"
+            );
+        }
+    }
+    let after = [1, 2].map(|n: usize| servers[n].opened.load(Ordering::Relaxed));
+    assert_eq!(told, after, "new work after a drain was told");
+    // The one that watches dies: the others ask themselves once its news is too old, and one takes the duty.
+    cluster.kill(leader);
+    let again = |cluster: &Cluster| {
+        let takes = |i: &&usize| cluster.log(**i).contains("watches discovery for all");
+        others.iter().filter(takes).count()
+    };
+    wait_until("another one takes the watch", || again(&cluster) == 1);
+    entries.push(servers[2].entry("SERVING"));
+    entries[0] = servers[0].entry("DRAINING");
+    discovery.tell(entries);
+    std::thread::sleep(Duration::from_millis(2500));
+    let before = servers[2].opened.load(Ordering::Relaxed);
+    for i in &others {
+        assert_eq!(cluster.open(*i, 0xe000, "1"), "UP r1\r\n", "instance {i}");
+    }
+    assert_eq!(
+        servers[2].opened.load(Ordering::Relaxed) - before,
+        others.len()
+    );
+}
+
+#[test]
+fn a_key_is_replaced_without_a_stop_and_a_bad_file_changes_nothing() {
+    let servers = servers(3);
+    let discovery = Discovery::new(serving(&servers));
+    let mut cluster = Cluster::new(3, discovery, PROBE);
+    wait_until("every server is probed", || all_probed(&servers));
+    let from = Instant::now();
+    let steps = [
+        r#"["a secret of this test","another one, for later"]"#,
+        r#"["another one, for later","a secret of this test"]"#,
+        r#"["another one, for later"]"#,
+    ];
+    for keys in steps {
+        cluster.keys = keys.into();
+        for i in 0..3 {
+            cluster.write_operator(i);
+            cluster.signal(i, "-HUP");
+            std::thread::sleep(Duration::from_millis(150));
+        }
+    }
+    std::thread::sleep(EVERY * 3);
+    // Too fast for a take-over, and a key that nobody knows: both are named, and all stays as it was.
+    cluster.duties = PROBE.replace("\"every_ms\":2000", "\"every_ms\":900,\"odd\":1");
+    cluster.write_operator(1);
+    cluster.signal(1, "-HUP");
+    wait_until("the fault is logged", || {
+        cluster.log(1).contains("not reloaded")
+    });
+    assert!(
+        cluster.log(1).contains("'odd' was unexpected"),
+        "{}",
+        cluster.log(1)
+    );
+    std::thread::sleep(EVERY * 2);
+    let found = faults(&servers, from, Instant::now());
+    assert!(found.is_empty(), "{found:#?}");
+    let counters = &cluster.ask(2, "members").expect("an answer")["counters"];
+    assert_eq!(counters["forged"].as_u64().unwrap_or(0), 0, "{counters}");
+}
+
+#[test]
+fn without_a_cluster_nothing_listens_and_check_names_every_fault() {
+    let file = std::env::temp_dir().join(format!("spanspur-check-{}.json", std::process::id()));
+    let free = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let text = format!(
+        r#"{{"cluster":{{"listen":"{}","voters":["a","b"],"keys":["short"],"seed":[]}},
+        "duties":{{"probe":{{"every_ms":100}}}}}}"#,
+        free.local_addr().expect("bound")
+    );
+    std::fs::write(&file, text.replace("\"seed\"", "\"seeds\"")).expect("written");
+    let run = || {
+        let done = std::process::Command::new(env!("CARGO_BIN_EXE_spanspur"))
+            .arg("check")
+            .arg(&file)
+            .output()
+            .expect("it runs");
+        (
+            done.status.code(),
+            String::from_utf8_lossy(&done.stderr).into_owned(),
+        )
+    };
+    let (code, told) = run();
+    assert_eq!(code, Some(1));
+    for part in [
+        "cluster.voters: 2 voters",
+        "cluster.keys[0]: shorter",
+        "duties.probe.every_ms: 100 ms is less",
+    ] {
+        assert!(told.contains(part), "{part}: {told}");
+    }
+    std::fs::write(&file, text).expect("written");
+    assert!(run().1.contains("'seed' was unexpected"));
+    let _ = std::fs::remove_file(&file);
+}
--- /dev/null
+++ b/tests/cluster/rig.rs
@@ -0,0 +1,355 @@
+//! Balancers of one cluster as real processes, with stand-in stream servers and a stand-in discovery in this
+//! process. Every port is one that was free a moment ago, on a loopback address of this test's own.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// No step takes longer; a test that would hang fails instead.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An act, as a stand-in server recorded it: when, in which period, by whom.
+pub type Act = (Instant, u64, String);
+
+/// A stream server that answers probes and records them.
+pub struct Server {
+    pub id: String,
+    pub address: SocketAddr,
+    pub acts: Arc<Mutex<Vec<Act>>>,
+    /// Takes connections and says nothing, as one that hangs.
+    pub hangs: Arc<AtomicBool>,
+    /// Lines that begin with OPEN, from clients.
+    pub opened: Arc<AtomicUsize>,
+}
+
+impl Server {
+    pub fn new(id: &str) -> Self {
+        let listener = TcpListener::bind(free()).expect("a port");
+        let server = Self {
+            id: id.into(),
+            address: listener.local_addr().expect("bound"),
+            acts: Arc::default(),
+            hangs: Arc::default(),
+            opened: Arc::default(),
+        };
+        let (acts, hangs, opened) = (
+            server.acts.clone(),
+            server.hangs.clone(),
+            server.opened.clone(),
+        );
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (acts, hangs, opened) = (acts.clone(), hangs.clone(), opened.clone());
+                std::thread::spawn(move || {
+                    let mut lines = BufReader::new(stream.try_clone().expect("cloned")).lines();
+                    let mut out = stream;
+                    while let Some(Ok(line)) = lines.next() {
+                        if hangs.load(Ordering::Relaxed) {
+                            std::thread::sleep(Duration::from_secs(20));
+                            return;
+                        }
+                        let answer = match line.split(' ').collect::<Vec<_>>()[..] {
+                            ["PROBE", period, by] => {
+                                let act = (Instant::now(), period.parse().unwrap_or(0), by.into());
+                                acts.lock().expect("whole").push(act);
+                                "PONG\r\n"
+                            }
+                            _ => {
+                                opened.fetch_add(1, Ordering::Relaxed);
+                                "UP r1\r\n"
+                            }
+                        };
+                        if out.write_all(answer.as_bytes()).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        server
+    }
+
+    pub fn entry(&self, phase: &str) -> String {
+        entry(&self.id, self.address, phase)
+    }
+}
+
+pub fn entry(id: &str, at: SocketAddr, phase: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","host_port":"{at}","locality":"a","flavor":"m","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
+    )
+}
+
+/// A stand-in discovery that serves one list to all, and counts who watches.
+#[derive(Clone)]
+pub struct Discovery {
+    pub address: SocketAddr,
+    list: Arc<(Mutex<(u64, Vec<String>)>, Condvar)>,
+    pub calls: Arc<AtomicUsize>,
+}
+
+impl Discovery {
+    pub fn new(entries: Vec<String>) -> Self {
+        let listener = TcpListener::bind(free()).expect("a port");
+        let new = Self {
+            address: listener.local_addr().expect("bound"),
+            list: Arc::new((Mutex::new((1, entries)), Condvar::new())),
+            calls: Arc::default(),
+        };
+        let discovery = new.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let discovery = discovery.clone();
+                std::thread::spawn(move || discovery.serve(stream));
+            }
+        });
+        new
+    }
+
+    /// Puts another list in place: the whole of it, under the next revision.
+    pub fn tell(&self, entries: Vec<String>) {
+        let mut list = self.list.0.lock().expect("whole");
+        *list = (list.0 + 1, entries);
+        self.list.1.notify_all();
+    }
+
+    fn serve(&self, stream: TcpStream) -> Option<()> {
+        let mut lines = BufReader::new(stream.try_clone().ok()?).lines();
+        let mut out = stream;
+        loop {
+            let call = lines.next()?.ok()?;
+            while !lines.next()?.ok()?.is_empty() {}
+            self.calls.fetch_add(1, Ordering::Relaxed);
+            let since = call.split_once("since=").and_then(|(_, rest)| {
+                rest.split(|c: char| !c.is_ascii_digit())
+                    .next()?
+                    .parse::<u64>()
+                    .ok()
+            });
+            let list = self.list.0.lock().expect("whole");
+            let wait = Duration::from_millis(if since.is_some() { 3500 } else { 0 });
+            let (list, _) = self
+                .list
+                .1
+                .wait_timeout_while(list, wait, |list| since == Some(list.0))
+                .expect("whole");
+            let same = since == Some(list.0);
+            let members = if same {
+                String::new()
+            } else {
+                list.1.join(",")
+            };
+            let body = format!(
+                r#"{{"revision":{},"complete":{},"members":[{members}]}}"#,
+                list.0, !same
+            );
+            drop(list);
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            out.write_all((head + &body).as_bytes()).ok()?;
+        }
+    }
+}
+
+/// A port that is free, on a loopback address that nobody else uses.
+fn free() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let own = Ipv4Addr::new(
+        127,
+        130 + NEXT.fetch_add(1, Ordering::Relaxed) % 100,
+        high,
+        low,
+    );
+    let tcp = TcpListener::bind((own, 0)).expect("a port");
+    tcp.local_addr().expect("bound")
+}
+
+/// What the instances of a test have in common.
+pub struct Cluster {
+    pub folder: PathBuf,
+    pub discovery: Discovery,
+    pub names: Vec<String>,
+    pub gossip: Vec<SocketAddr>,
+    pub listens: Vec<SocketAddr>,
+    pub duties: String,
+    pub keys: String,
+    pub running: BTreeMap<usize, Child>,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for child in self.running.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Cluster {
+    pub fn new(size: usize, discovery: Discovery, duties: &str) -> Self {
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        let count = COUNT.fetch_add(1, Ordering::Relaxed);
+        let folder =
+            std::env::temp_dir().join(format!("spanspur-cluster-{}-{count}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let gossip = (0..size).map(|_| {
+            let at = free();
+            UdpSocket::bind(at).expect("free for datagrams too");
+            at
+        });
+        let mut cluster = Self {
+            folder,
+            discovery,
+            names: (0..size).map(|i| format!("n{i}")).collect(),
+            gossip: gossip.collect(),
+            listens: (0..size).map(|_| free()).collect(),
+            duties: duties.into(),
+            keys: r#"["a secret of this test"]"#.into(),
+            running: BTreeMap::new(),
+        };
+        for i in 0..size {
+            cluster.start(i);
+        }
+        cluster
+    }
+
+    /// Writes the operator's file of an instance.
+    pub fn write_operator(&self, i: usize) {
+        let quoted = |all: Vec<String>| {
+            let all: Vec<String> = all.iter().map(|one| format!("{one:?}")).collect();
+            all.join(",")
+        };
+        let seeds = quoted(
+            self.gossip
+                .iter()
+                .take(3)
+                .map(SocketAddr::to_string)
+                .collect(),
+        );
+        let text = format!(
+            r#"{{"log":{{"format":"json"}},"control":{{"socket":{:?}}},
+            "cluster":{{"name":"{}","listen":"{}","seeds":[{seeds}],"voters":[{}],"keys":{},
+            "clock_skew_ms":200}},"duties":{}}}"#,
+            self.socket(i),
+            self.names[i],
+            self.gossip[i],
+            quoted(self.names.clone()),
+            self.keys,
+            self.duties,
+        );
+        std::fs::write(self.folder.join(format!("operator-{i}.json")), text).expect("written");
+    }
+
+    pub fn socket(&self, i: usize) -> PathBuf {
+        self.folder.join(format!("{i}.sock"))
+    }
+
+    pub fn start(&mut self, i: usize) {
+        self.write_operator(i);
+        let config = self.folder.join(format!("config-{i}.json"));
+        let settings = r#"{"balancers":5,"zone":"a","membershipMode":"on_request",
+            "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
+            "domain":{"groups":true,"messageAim":[0.25]},
+            "limits":{"maxAttempts":3,"connectTimeout":0.25,"cancel":true},"rules":{"askWithin":1.0}}"#;
+        let text = format!(
+            r#"{{"name":"n{i}","listen":"{}","discovery":"{}","seed":"{}","limits":{{"sockets":256}},
+            "settings":{settings}}}"#,
+            self.listens[i],
+            self.discovery.address,
+            i + 1
+        );
+        std::fs::write(&config, text).expect("written");
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("log-{i}")))
+            .expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_spanspur"))
+            .args(["serve", "--operator"])
+            .arg(self.folder.join(format!("operator-{i}.json")))
+            .env("BALANCER_CONFIG", &config)
+            .env_remove("BALANCER_LISTEN")
+            .env_remove("BALANCER_DISCOVERY")
+            .env("RUST_LOG", "debug")
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("the program starts");
+        self.running.insert(i, child);
+    }
+
+    pub fn signal(&self, i: usize, name: &str) {
+        let pid = self.running[&i].id().to_string();
+        let sent = Command::new("kill").args([name, &pid]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "{name} to {i}");
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.running.remove(&i) {
+            child.kill().expect("killed");
+            child.wait().expect("ended");
+        }
+    }
+
+    /// Waits for an instance to end by itself.
+    pub fn ended(&mut self, i: usize) -> Option<i32> {
+        let mut child = self.running.remove(&i)?;
+        let mut code = None;
+        wait_until("the process ends", || {
+            let ended = child.try_wait().expect("a child");
+            ended.map(|status| code = status.code()).is_some()
+        });
+        code
+    }
+
+    /// Asks a running instance by the sub-command, in JSON.
+    pub fn ask(&self, i: usize, question: &str) -> Option<serde_json::Value> {
+        let done = Command::new(env!("CARGO_BIN_EXE_spanspur"))
+            .args([question, "--json", "--socket"])
+            .arg(self.socket(i))
+            .output()
+            .ok()?;
+        serde_json::from_slice(&done.stdout).ok()
+    }
+
+    /// The same in the form for people.
+    pub fn show(&self, i: usize, question: &str) -> String {
+        let done = Command::new(env!("CARGO_BIN_EXE_spanspur"))
+            .args([question, "--operator"])
+            .arg(self.folder.join(format!("operator-{i}.json")))
+            .output()
+            .expect("it runs");
+        String::from_utf8_lossy(&done.stdout).into_owned()
+    }
+
+    pub fn log(&self, i: usize) -> String {
+        std::fs::read_to_string(self.folder.join(format!("log-{i}"))).unwrap_or_default()
+    }
+
+    /// A client asks instance `i` for a connection: the answer's first line.
+    pub fn open(&self, i: usize, id: u64, key: &str) -> String {
+        let mut stream = TcpStream::connect(self.listens[i]).expect("accepted");
+        stream.set_read_timeout(Some(PATIENCE)).expect("settable");
+        let line = format!("OPEN {id:016x} 7f3a c=live,d=1500,g={key}\r\n");
+        stream.write_all(line.as_bytes()).expect("written");
+        let mut answer = String::new();
+        let _ = BufReader::new(stream).read_line(&mut answer);
+        answer
+    }
+}
+
+pub fn wait_until(what: &str, mut fact: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !fact() {
+        assert!(Instant::now() < end, "in vain: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
