--- a/crates/duties-rig/src/lib.rs
+++ b/crates/duties-rig/src/lib.rs
@@ -1,8 +1,12 @@
-//! Rigs for the shared duties: a cluster of real nodes (`spanspur_cluster::Node`) in virtual time, with a network
-//! and faults from a seed, and a judge who knows the truth.
+//! Rigs for the shared duties: clusters of real nodes (`spanspur_cluster::Node`) in virtual time and of real
+//! processes on loopback, with faults from a seed, and a judge who knows the truth.
 #![forbid(unsafe_code)]
 
+pub mod charts;
 pub mod judge;
+pub mod measure;
+pub mod real;
+pub mod soak;
 pub mod world;
 
 pub use judge::{Act, Judge, Verdict};
--- a/crates/duties-rig/src/main.rs
+++ b/crates/duties-rig/src/main.rs
@@ -1,1 +1,106 @@
-fn main() {}
+//! Long runs and measurements of the shared duties.
+
+use clap::{Parser, Subcommand};
+use spanspur_duties_rig::{Plan, measure, soak};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// Rigs for the shared duties.
+#[derive(Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Real processes under seeded kills, freezes and cuts: 100 seeds of a minute, ten at a time, take about 12 min.
+    Real {
+        /// The balancer's program.
+        #[arg(default_value = "target/release/spanspur")]
+        program: String,
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        #[arg(long, default_value_t = 10)]
+        jobs: usize,
+    },
+    /// 50 instances and 10,000 duties in virtual time, over a million duty periods.
+    Large {
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        #[arg(long, default_value_t = 50)]
+        instances: usize,
+        #[arg(long, default_value_t = 10_000)]
+        duties: usize,
+        /// Duty periods to play at least.
+        #[arg(long, default_value_t = 1_000_000)]
+        periods: u64,
+    },
+    /// Costs and take-over times: data, a table and charts.
+    Measure {
+        #[arg(default_value = "docs/measured")]
+        folder: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    let sound = match Cli::parse().command {
+        Command::Real {
+            program,
+            seeds,
+            seconds,
+            jobs,
+        } => soak::real_many(&program, seeds, Duration::from_secs(seconds), jobs),
+        Command::Large {
+            seed,
+            instances,
+            duties,
+            periods,
+        } => {
+            let plan = Plan {
+                instances,
+                voters: instances.min(9),
+                duties,
+                every: 10_000,
+                ..Plan::default()
+            };
+            // A tenth more, for what the faults leave undone.
+            let end = (periods / duties as u64 + 6) * plan.every * 11 / 10;
+            let start = Instant::now();
+            let verdict = soak::large(seed, plan, end);
+            println!(
+                "seed {seed}: {instances} instances, {duties} duties, {} acts in {} s of virtual time, {:.0} s of ours",
+                verdict.acts,
+                end / 1000,
+                start.elapsed().as_secs_f64()
+            );
+            println!(
+                "twice: {}, gaps of over one missed period: {}, single misses: {}, fenced: {}, longest {:.2} periods, closest {:.2}",
+                verdict.twice.len(),
+                verdict.gaps.len(),
+                verdict.missed_one,
+                verdict.fenced,
+                verdict.longest,
+                verdict.closest
+            );
+            for what in verdict.twice.iter().chain(&verdict.gaps).take(20) {
+                println!("  {what}");
+            }
+            verdict.sound()
+        }
+        Command::Measure { folder } => match measure::run(&folder) {
+            Ok(()) => true,
+            Err(what) => {
+                eprintln!("{what}");
+                false
+            }
+        },
+    };
+    match sound {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
--- a/tests/cluster/rig.rs
+++ b/crates/duties-rig/src/real.rs
@@ -1,5 +1,5 @@
 //! Balancers of one cluster as real processes, with stand-in stream servers and a stand-in discovery in this
-//! process. Every port is one that was free a moment ago, on a loopback address of this test's own.
+//! process. Every port is one that was free a moment ago, on a loopback address of this rig's own.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
@@ -10,8 +10,68 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-/// No step takes longer; a test that would hang fails instead.
+/// No step takes longer; a rig that would hang fails instead.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// Probes by which the stand-ins tell who acts in which period; `MS` is replaced by the period.
+const PROBE: &str = r#"{"probe":{"every_ms":MS,"connect_ms":200,"answer_ms":300,"line":"PROBE {period} {instance}","expect":"PONG"}}"#;
+
+/// The duties of an operator's file: to probe every server once in this time.
+pub fn probes(every: Duration) -> String {
+    PROBE.replace("MS", &every.as_millis().to_string())
+}
+
+/// So many stand-in servers.
+pub fn servers(count: usize) -> Vec<Server> {
+    (0..count).map(|n| Server::new(&format!("s-{n}"))).collect()
+}
+
+/// Their entries of the list.
+pub fn serving(servers: &[Server]) -> Vec<String> {
+    servers
+        .iter()
+        .map(|server| server.entry("SERVING"))
+        .collect()
+}
+
+/// Whether each has been probed more than once.
+pub fn all_probed(servers: &[Server]) -> bool {
+    servers
+        .iter()
+        .all(|s| s.acts.lock().expect("whole").len() > 1)
+}
+
+/// What was done twice or missed for more than a period, by the servers' own record: a sentence for each.
+pub fn faults(servers: &[Server], every: Duration, from: Instant, until: Instant) -> Vec<String> {
+    let mut faults = Vec::new();
+    for server in servers {
+        let acts = server.acts.lock().expect("whole").clone();
+        let mut seen: BTreeMap<u64, &str> = BTreeMap::new();
+        for (_, period, by) in &acts {
+            if let Some(first) = seen.insert(*period, by) {
+                faults.push(format!(
+                    "{}: period {period} by {first} and {by}",
+                    server.id
+                ));
+            }
+        }
+        let (mut highest, mut last) = (0, from);
+        let in_time = acts.iter().filter(|(at, ..)| *at >= from && *at <= until);
+        let kept = in_time.filter(|(_, period, _)| {
+            let newer = *period > highest;
+            highest = highest.max(*period);
+            newer
+        });
+        for at in kept.map(|(at, ..)| *at).chain([until]) {
+            // One may be missed, and the next comes as late as a take-over takes.
+            if at - last > every * 3 {
+                let (a, b) = ((last - from).as_millis(), (at - from).as_millis());
+                faults.push(format!("{}: nothing from {a} to {b} ms", server.id));
+            }
+            last = at;
+        }
+    }
+    faults
+}
 
 /// An act, as a stand-in server recorded it: when, in which period, by whom.
 pub type Act = (Instant, u64, String);
@@ -85,11 +145,14 @@
     )
 }
 
+/// A revision and its entries.
+type Listed = (u64, Vec<String>);
+
 /// A stand-in discovery that serves one list to all, and counts who watches.
 #[derive(Clone)]
 pub struct Discovery {
     pub address: SocketAddr,
-    list: Arc<(Mutex<(u64, Vec<String>)>, Condvar)>,
+    list: Arc<(Mutex<Listed>, Condvar)>,
     pub calls: Arc<AtomicUsize>,
 }
 
@@ -171,6 +234,7 @@
 
 /// What the instances of a test have in common.
 pub struct Cluster {
+    program: PathBuf,
     pub folder: PathBuf,
     pub discovery: Discovery,
     pub names: Vec<String>,
@@ -194,7 +258,8 @@
 }
 
 impl Cluster {
-    pub fn new(size: usize, discovery: Discovery, duties: &str) -> Self {
+    /// Starts instances of this program.
+    pub fn new(program: &str, size: usize, discovery: Discovery, duties: &str) -> Self {
         static COUNT: AtomicUsize = AtomicUsize::new(0);
         let count = COUNT.fetch_add(1, Ordering::Relaxed);
         let folder =
@@ -206,6 +271,7 @@
             at
         });
         let mut cluster = Self {
+            program: program.into(),
             folder,
             discovery,
             names: (0..size).map(|i| format!("n{i}")).collect(),
@@ -272,7 +338,7 @@
             .append(true)
             .open(self.folder.join(format!("log-{i}")))
             .expect("a log");
-        let child = Command::new(env!("CARGO_BIN_EXE_spanspur"))
+        let child = Command::new(&self.program)
             .args(["serve", "--operator"])
             .arg(self.folder.join(format!("operator-{i}.json")))
             .env("BALANCER_CONFIG", &config)
@@ -312,7 +378,7 @@
 
     /// Asks a running instance by the sub-command, in JSON.
     pub fn ask(&self, i: usize, question: &str) -> Option<serde_json::Value> {
-        let done = Command::new(env!("CARGO_BIN_EXE_spanspur"))
+        let done = Command::new(&self.program)
             .args([question, "--json", "--socket"])
             .arg(self.socket(i))
             .output()
@@ -322,7 +388,7 @@
 
     /// The same in the form for people.
     pub fn show(&self, i: usize, question: &str) -> String {
-        let done = Command::new(env!("CARGO_BIN_EXE_spanspur"))
+        let done = Command::new(&self.program)
             .args([question, "--operator"])
             .arg(self.folder.join(format!("operator-{i}.json")))
             .output()
--- /dev/null
+++ b/crates/membership/tests/seal.rs
@@ -0,0 +1,119 @@
+//! What does not hold is dropped: forged, cut off, damaged, replayed, meant for another run, too large.
+
+use proptest::prelude::*;
+use spanspur_membership::seal::{Kind, MAX_DATAGRAM, OVERHEAD, VERSION};
+use spanspur_membership::{Key, Keys, Refusal, Sessions};
+
+const SECRET: &[u8] = b"the secret of this test";
+
+fn keys(secrets: &[&[u8]]) -> Keys {
+    Keys(secrets.iter().map(|s| Key::new(s)).collect())
+}
+
+/// Two instances that know each other's runs.
+fn pair() -> (Sessions, Sessions) {
+    let mut a = Sessions::new(1, 100, keys(&[SECRET]));
+    let mut b = Sessions::new(2, 200, keys(&[SECRET]));
+    let to_b = a.answer(200, b"a").expect("fits");
+    assert!(b.open(&to_b).expect("holds").fresh);
+    let to_a = b.answer(100, b"b").expect("fits");
+    assert!(a.open(&to_a).expect("holds").fresh);
+    (a, b)
+}
+
+#[test]
+fn what_is_sealed_opens_once() {
+    let (mut a, mut b) = pair();
+    let one = a.seal(2, Kind::Data, b"one").expect("known");
+    let two = a.seal(2, Kind::Data, b"two").expect("known");
+    let opened = b.open(&two).expect("holds");
+    assert_eq!(
+        (opened.from, opened.boot, opened.body),
+        (1, 100, &b"two"[..])
+    );
+    assert_eq!(b.open(&one).expect("out of order").body, b"one");
+    assert_eq!(b.open(&two).map(|_| ()), Err(Refusal::Replay));
+    assert_eq!(b.open(&one).map(|_| ()), Err(Refusal::Replay));
+    assert_eq!(a.seal(3, Kind::Data, b"nobody"), None);
+}
+
+#[test]
+fn what_was_recorded_does_not_pass_a_restart_of_either_side() {
+    let (mut a, mut b) = pair();
+    let recorded = a.seal(2, Kind::Data, b"old").expect("known");
+    b.open(&recorded).expect("holds");
+    // The receiver has restarted: its window is empty, but its run is another.
+    let mut reborn = Sessions::new(2, 201, keys(&[SECRET]));
+    assert_eq!(reborn.open(&recorded).map(|_| ()), Err(Refusal::OtherRun));
+    // The sender has restarted, and is heard; what its run before sent still shows.
+    let mut again = Sessions::new(1, 101, keys(&[SECRET]));
+    let back = b.answer(101, b"b").expect("fits");
+    again.open(&back).expect("holds");
+    let new = again.seal(2, Kind::Data, b"new").expect("known");
+    assert!(b.open(&new).expect("holds").fresh);
+    assert_eq!(b.open(&recorded).map(|_| ()), Err(Refusal::Replay));
+    assert_eq!(b.run_of(1), Some(101));
+}
+
+#[test]
+fn a_key_is_replaced_in_steps_and_a_strange_one_never_opens() {
+    let (mut a, mut b) = pair();
+    let send = |a: &mut Sessions, b: &mut Sessions| {
+        let bytes = a.seal(2, Kind::Data, b"x").expect("known");
+        b.open(&bytes).map(|_| ())
+    };
+    b.rekey(keys(&[SECRET, b"the next secret"]));
+    assert_eq!(send(&mut a, &mut b), Ok(()));
+    a.rekey(keys(&[b"the next secret", SECRET]));
+    assert_eq!(send(&mut a, &mut b), Ok(()));
+    b.rekey(keys(&[b"the next secret"]));
+    assert_eq!(send(&mut a, &mut b), Ok(()));
+    a.rekey(keys(&[SECRET]));
+    assert_eq!(send(&mut a, &mut b), Err(Refusal::Forged));
+}
+
+#[test]
+fn sizes_and_versions() {
+    let (mut a, mut b) = pair();
+    let most = vec![7; MAX_DATAGRAM - OVERHEAD];
+    let bytes = a.seal(2, Kind::Data, &most).expect("fits");
+    assert_eq!(bytes.len(), MAX_DATAGRAM);
+    assert_eq!(b.open(&bytes).expect("holds").body, most);
+    assert_eq!(a.seal(2, Kind::Data, &[0; MAX_DATAGRAM]), None);
+    let long = vec![VERSION; MAX_DATAGRAM + 1];
+    assert_eq!(b.open(&long).map(|_| ()), Err(Refusal::Size));
+    assert_eq!(b.open(&[]).map(|_| ()), Err(Refusal::Size));
+    let mut other = bytes.clone();
+    other[0] = VERSION + 1;
+    assert_eq!(b.open(&other).map(|_| ()), Err(Refusal::Version));
+}
+
+proptest! {
+    #[test]
+    fn no_flipped_bit_and_no_cut_passes(body in prop::collection::vec(any::<u8>(), 0..200), at: prop::sample::Index, bit in 0..8_u8, cut: prop::sample::Index) {
+        let (mut a, mut b) = pair();
+        let whole = a.seal(2, Kind::Data, &body).expect("known");
+        let mut bytes = whole.clone();
+        bytes[at.index(whole.len())] ^= 1_u8 << bit;
+        prop_assert!(b.open(&bytes).is_err());
+        prop_assert!(b.open(&whole[..cut.index(whole.len())]).is_err());
+        prop_assert_eq!(b.open(&whole).expect("holds").body, body);
+    }
+
+    #[test]
+    fn random_bytes_never_open(bytes in prop::collection::vec(any::<u8>(), 0..1500)) {
+        let (_, mut b) = pair();
+        prop_assert!(b.open(&bytes).is_err());
+    }
+
+    /// In any order and with any repetition, each number opens at most once, and always if it is not too old.
+    #[test]
+    fn each_number_opens_once(order in prop::collection::vec(0_usize..300, 1..600)) {
+        let (mut a, mut b) = pair();
+        let sealed: Vec<_> = (0..300).map(|_| a.seal(2, Kind::Data, b"n").expect("known")).collect();
+        let mut seen = std::collections::BTreeSet::new();
+        for n in order {
+            prop_assert_eq!(b.open(&sealed[n]).is_ok(), seen.insert(n));
+        }
+    }
+}
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -1,73 +1,19 @@
 //! Shared duties among real processes on loopback: killed, frozen, cut off, reloaded. What counts is the stand-in
 //! servers' own record.
 
-mod rig;
-
-use rig::*;
-use std::collections::BTreeMap;
+use spanspur_duties_rig::real::*;
 use std::net::TcpListener;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const EVERY: Duration = Duration::from_millis(2000);
-const PROBE: &str = r#"{"probe":{"every_ms":2000,"connect_ms":200,"answer_ms":300,"line":"PROBE {period} {instance}","expect":"PONG"}}"#;
-
-fn servers(count: usize) -> Vec<Server> {
-    (0..count).map(|n| Server::new(&format!("s-{n}"))).collect()
-}
-
-fn serving(servers: &[Server]) -> Vec<String> {
-    servers
-        .iter()
-        .map(|server| server.entry("SERVING"))
-        .collect()
-}
-
-fn all_probed(servers: &[Server]) -> bool {
-    servers
-        .iter()
-        .all(|s| s.acts.lock().expect("whole").len() > 1)
-}
-
-/// Twice or missed, by the servers' record: a sentence for each.
-fn faults(servers: &[Server], from: Instant, until: Instant) -> Vec<String> {
-    let mut faults = Vec::new();
-    for server in servers {
-        let acts = server.acts.lock().expect("whole").clone();
-        let mut seen: BTreeMap<u64, &str> = BTreeMap::new();
-        for (_, period, by) in &acts {
-            if let Some(first) = seen.insert(*period, by) {
-                faults.push(format!(
-                    "{}: period {period} by {first} and {by}",
-                    server.id
-                ));
-            }
-        }
-        let mut highest = 0;
-        let mut last = from;
-        let in_time = acts.iter().filter(|(at, ..)| *at >= from && *at <= until);
-        let kept = in_time.filter(|(_, period, _)| {
-            let newer = *period > highest;
-            highest = highest.max(*period);
-            newer
-        });
-        for at in kept.map(|(at, ..)| *at).chain([until]) {
-            // One may be missed, and the next comes as late as a take-over takes.
-            if at - last > EVERY * 3 {
-                let (a, b) = ((last - from).as_millis(), (at - from).as_millis());
-                faults.push(format!("{}: nothing from {a} to {b} ms", server.id));
-            }
-            last = at;
-        }
-    }
-    faults
-}
+const PROGRAM: &str = env!("CARGO_BIN_EXE_spanspur");
 
 #[test]
 fn forty_duties_of_five_instances_that_are_killed_frozen_and_restarted() {
     let servers = servers(40);
     let discovery = Discovery::new(serving(&servers));
-    let mut cluster = Cluster::new(5, discovery, PROBE);
+    let mut cluster = Cluster::new(PROGRAM, 5, discovery, &probes(EVERY));
     wait_until("every server is probed", || all_probed(&servers));
     let from = Instant::now();
     let pause = |periods: u32| std::thread::sleep(EVERY * periods);
@@ -94,7 +40,7 @@
     assert_eq!(cluster.ended(4), Some(0));
     pause(2);
 
-    let found = faults(&servers, from, Instant::now());
+    let found = faults(&servers, EVERY, from, Instant::now());
     assert!(
         found.is_empty(),
         "{found:#?}\nlogs: {}",
@@ -125,7 +71,7 @@
 fn a_server_that_hangs_is_avoided_by_all_though_one_probed_it() {
     let servers = servers(2);
     let discovery = Discovery::new(serving(&servers));
-    let cluster = Cluster::new(3, discovery, PROBE);
+    let cluster = Cluster::new(PROGRAM, 3, discovery, &probes(EVERY));
     wait_until("every server is probed", || all_probed(&servers));
     // Found by its answers to clients: the key that leads to the first server.
     let key = (0..100).map(|n| format!("{n:016x}")).find(|key| {
@@ -161,7 +107,7 @@
     let servers = servers(3);
     let discovery = Discovery::new(serving(&servers));
     let duties = r#"{"list":{"every_ms":2500,"max_age_ms":1500}}"#;
-    let mut cluster = Cluster::new(3, discovery.clone(), duties);
+    let mut cluster = Cluster::new(PROGRAM, 3, discovery.clone(), duties);
     let relieved = |cluster: &Cluster| -> Vec<usize> {
         (0..3)
             .filter(|i| {
@@ -219,7 +165,7 @@
 fn a_key_is_replaced_without_a_stop_and_a_bad_file_changes_nothing() {
     let servers = servers(3);
     let discovery = Discovery::new(serving(&servers));
-    let mut cluster = Cluster::new(3, discovery, PROBE);
+    let mut cluster = Cluster::new(PROGRAM, 3, discovery, &probes(EVERY));
     wait_until("every server is probed", || all_probed(&servers));
     let from = Instant::now();
     let steps = [
@@ -237,7 +183,7 @@
     }
     std::thread::sleep(EVERY * 3);
     // Too fast for a take-over, and a key that nobody knows: both are named, and all stays as it was.
-    cluster.duties = PROBE.replace("\"every_ms\":2000", "\"every_ms\":900,\"odd\":1");
+    cluster.duties = probes(EVERY).replace("\"every_ms\":2000", "\"every_ms\":900,\"odd\":1");
     cluster.write_operator(1);
     cluster.signal(1, "-HUP");
     wait_until("the fault is logged", || {
@@ -249,7 +195,7 @@
         cluster.log(1)
     );
     std::thread::sleep(EVERY * 2);
-    let found = faults(&servers, from, Instant::now());
+    let found = faults(&servers, EVERY, from, Instant::now());
     assert!(found.is_empty(), "{found:#?}");
     let counters = &cluster.ask(2, "members").expect("an answer")["counters"];
     assert_eq!(counters["forged"].as_u64().unwrap_or(0), 0, "{counters}");
@@ -266,7 +212,7 @@
     );
     std::fs::write(&file, text.replace("\"seed\"", "\"seeds\"")).expect("written");
     let run = || {
-        let done = std::process::Command::new(env!("CARGO_BIN_EXE_spanspur"))
+        let done = std::process::Command::new(PROGRAM)
             .arg("check")
             .arg(&file)
             .output()
