--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -13,12 +13,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, Semaphore, mpsc};
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout};
 
 /// Datagrams taken in one turn, so that a flood of them leaves the balancer its own.
 const BATCH: usize = 64;
+/// Duties done at the same time. Each may hold a descriptor, and those come out of the few that the balancer keeps
+/// for itself; more wait, as long as their permits hold.
+const MAX_PERFORMING: usize = 16;
 /// News that waits for whoever is interested in it.
 const MAX_NEWS: usize = 16_384;
 
@@ -28,6 +31,7 @@
     work: Work,
     socket: UdpSocket,
     changed: Notify,
+    performing: Semaphore,
     news: mpsc::Sender<Entry>,
     /// Datagrams and bytes sent and received, datagrams that the socket did not take, news that found no room.
     traffic: RefCell<Traffic>,
@@ -72,6 +76,7 @@
             work,
             socket,
             changed: Notify::new(),
+            performing: Semaphore::new(MAX_PERFORMING),
             news,
             traffic: RefCell::default(),
         });
@@ -140,16 +145,18 @@
             match effect {
                 Effect::Datagram(to, bytes) => self.send(to, &bytes),
                 Effect::Perform(permit) => self.perform(permit),
-                Effect::News(entry) => {
-                    if self.0.news.try_send(entry).is_err() {
-                        self.0.traffic.borrow_mut().news_dropped += 1;
-                    }
-                }
+                Effect::News(entry) => self.tell(entry),
                 Effect::Notice(notice) => self.log(notice),
             }
         }
     }
 
+    fn tell(&self, entry: Entry) {
+        if self.0.news.try_send(entry).is_err() {
+            self.0.traffic.borrow_mut().news_dropped += 1;
+        }
+    }
+
     fn send(&self, to: SocketAddr, bytes: &[u8]) {
         let sent = self.0.socket.try_send_to(bytes, to);
         let mut traffic = self.0.traffic.borrow_mut();
@@ -172,11 +179,13 @@
         spawn_local(async move {
             let work = handle.0.work;
             let start = work.now();
-            let in_time = work.holds(&permit);
+            let left = Duration::from_millis(permit.until.saturating_sub(start));
+            let place = timeout(left, handle.0.performing.acquire()).await;
+            let in_time = matches!(place, Ok(Ok(_))) && work.holds(&permit);
             let mut result = Vec::new();
             if in_time {
                 tracing::debug!(duty = name, period = permit.period, "performs");
-                let left = Duration::from_millis(permit.until.saturating_sub(start));
+                let left = Duration::from_millis(permit.until.saturating_sub(work.now()));
                 match timeout(left, duty.perform(permit, work)).await {
                     Ok(entries) => result = entries,
                     Err(_) => {
@@ -207,7 +216,7 @@
             });
             // What was found here counts here as well.
             for entry in result {
-                let _ = handle.0.news.try_send(entry);
+                handle.tell(entry);
             }
         });
     }
--- a/crates/duties-rig/src/measure.rs
+++ b/crates/duties-rig/src/measure.rs
@@ -9,7 +9,6 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::path::Path;
-use std::time::Instant;
 
 /// One cell of the grid of costs. All rates are for one instance and one second.
 #[derive(Debug, Serialize)]
@@ -60,16 +59,23 @@
     }
 }
 
+/// What this thread has spent on a processor, in microseconds, whatever else runs beside it.
+fn cpu_us() -> f64 {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let ns = text.split(' ').next().and_then(|ns| ns.parse::<f64>().ok());
+    ns.unwrap_or(f64::NAN) / 1000.0
+}
+
 fn cost(instances: usize, duties: usize, every: u64) -> Cost {
     let rates = |duties: usize| {
         let mut world = World::new(quiet(instances, duties, every), 1);
         let from = 4 * every;
         world.run_until(from);
         let before = world.sent.clone();
-        let (start, span) = (Instant::now(), 2 * every);
+        let (start, span) = (cpu_us(), 2 * every);
         world.run_until(from + span);
         // One thread plays all instances, so its time is theirs; the world's own part is counted with it.
-        let cpu = start.elapsed().as_secs_f64() * 1e6;
+        let cpu = cpu_us() - start;
         let per = instances as f64 * span as f64 / 1000.0;
         let all = |of: fn(&(u64, u64)) -> u64| {
             let sum = |sent: &[(u64, u64)]| sent.iter().map(of).sum::<u64>();
--- a/crates/duties/src/instance.rs
+++ b/crates/duties/src/instance.rs
@@ -94,6 +94,8 @@
     won: Option<(u64, Millis)>,
     done: u64,
     missed: u64,
+    /// The duty is held, as far as was told.
+    held: bool,
     minority: bool,
     added: Millis,
 }
@@ -167,6 +169,7 @@
                 won: None,
                 done: 0,
                 missed: 0,
+                held: false,
                 minority: false,
                 added: now.mono,
             };
@@ -381,7 +384,7 @@
                 };
                 (duty.asks, duty.wanted) = (0, false);
                 duty.claim.holder = None;
-                self.outputs.push(Output::Holds(id, true));
+                self.holds(id, true);
                 self.minority(id, false);
                 self.arm_due(now, id);
             }
@@ -424,7 +427,7 @@
                 // The first looks again soon: what a voter believes of the holder may change at any moment.
                 let most = duty.every / if first { STAGGER_SHARE } else { 1 };
                 let pause = wait.clamp(duty.every / 16 + 1, most) + duty.jitter(id, me);
-                self.outputs.push(Output::Holds(id, false));
+                self.holds(id, false);
                 match holder {
                     // Someone else has it: the first asks to be given it, the rest look again when it is late.
                     Some(holder) if first && holder != me && self.alive.contains(&holder) => {
@@ -473,7 +476,7 @@
                 }
                 duty.claim.rest();
                 let pause = duty.every / STAGGER_SHARE + duty.jitter(id, me);
-                self.outputs.push(Output::Holds(id, false));
+                self.holds(id, false);
                 self.minority(id, true);
                 self.arm(now, id, now.mono + pause);
             }
@@ -545,7 +548,7 @@
         duty.claim.rest();
         duty.wanted = false;
         if held {
-            self.outputs.push(Output::Holds(id, false));
+            self.holds(id, false);
             for voter in panel {
                 self.say(now, voter, Item::Yield { duty: id, ballot });
             }
@@ -603,6 +606,14 @@
         Some(late + turn)
     }
 
+    fn holds(&mut self, id: DutyId, held: bool) {
+        if let Some(duty) = self.duties.get_mut(&id)
+            && std::mem::replace(&mut duty.held, held) != held
+        {
+            self.outputs.push(Output::Holds(id, held));
+        }
+    }
+
     fn minority(&mut self, id: DutyId, minority: bool) {
         if let Some(duty) = self.duties.get_mut(&id)
             && std::mem::replace(&mut duty.minority, minority) != minority
--- a/crates/duties/src/vote.rs
+++ b/crates/duties/src/vote.rs
@@ -124,14 +124,7 @@
         alive: &BTreeSet<InstanceId>,
     ) -> Item {
         let abstains = self.abstains(now, every);
-        let refused = |why, held, floor, wait| Item::Refused {
-            duty,
-            ballot,
-            why,
-            held,
-            floor,
-            wait,
-        };
+        let refused = refuser(duty, ballot);
         if abstains > 0 {
             return refused(Why::Abstains, Ballot::default(), 0, abstains);
         }
@@ -186,14 +179,7 @@
         every: Millis,
     ) -> Item {
         let abstains = self.abstains(now, every);
-        let refused = |why, held, floor, wait| Item::Refused {
-            duty,
-            ballot,
-            why,
-            held,
-            floor,
-            wait,
-        };
+        let refused = refuser(duty, ballot);
         if abstains > 0 {
             return refused(Why::Abstains, Ballot::default(), 0, abstains);
         }
@@ -237,3 +223,15 @@
         self.slots.len() < MAX_DUTIES
     }
 }
+
+/// Makes the refusals of one question.
+fn refuser(duty: DutyId, ballot: Ballot) -> impl Fn(Why, Ballot, u64, Millis) -> Item {
+    move |why, held, floor, wait| Item::Refused {
+        duty,
+        ballot,
+        why,
+        held,
+        floor,
+        wait,
+    }
+}
