Read list entries in one place; drop a copied type, a dead check and empty lists

Cause: found on reading the change again. Each head of the shared list gave the followers an empty change, which registered all duties anew several times a second; an answered probe's first byte looked like a list entry's, so its result outlived its server on the board; the control socket copied a type field by field; one name check was unused.

Change: Row::read alone says what a list entry is, and a head changes nothing; members are told as the node has them.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -1,6 +1,7 @@
 //! The control socket: a Unix socket that only its owner may open. A line is asked, a line of JSON comes back.
 
 use crate::driver::Handle;
+use crate::node::Member;
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::os::unix::fs::PermissionsExt;
@@ -51,22 +52,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct MembersAnswer {
     /// Everyone.
-    pub members: Vec<MemberRow>,
+    pub members: Vec<Member>,
     /// What was dropped or refused, and what went over the socket.
     pub counters: std::collections::BTreeMap<String, u64>,
 }
 
-/// See [`crate::node::Member`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[allow(missing_docs)]
-pub struct MemberRow {
-    pub name: String,
-    pub address: std::net::SocketAddr,
-    pub alive: bool,
-    pub voter: bool,
-    pub me: bool,
-}
-
 /// Opens the socket and answers on the current `LocalSet`. A socket that a process before left is replaced.
 pub fn serve(handle: Handle, path: &Path) -> io::Result<()> {
     match std::os::unix::net::UnixStream::connect(path) {
@@ -149,13 +139,6 @@
 pub fn members(handle: &Handle) -> MembersAnswer {
     let traffic = handle.traffic();
     handle.with(|node, _| {
-        let rows = node.members().into_iter().map(|m| MemberRow {
-            name: m.name,
-            address: m.address,
-            alive: m.alive,
-            voter: m.voter,
-            me: m.me,
-        });
         let mut counters: std::collections::BTreeMap<String, u64> = node
             .counters()
             .into_iter()
@@ -172,7 +155,7 @@
             counters.insert(name.into(), value);
         }
         MembersAnswer {
-            members: rows.collect(),
+            members: node.members(),
             counters,
         }
     })
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -85,7 +85,7 @@
 }
 
 /// A member as others are told of it.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Member {
     /// Its name.
     pub name: String,
@@ -165,8 +165,8 @@
 
     /// Takes other keys and seeds over.
     pub fn rekey(&mut self, keys: Keys, seeds: Vec<SocketAddr>) {
-        self.sessions.rekey(keys.clone());
-        (self.setup.keys, self.setup.seeds) = (keys, seeds);
+        self.sessions.rekey(keys);
+        self.setup.seeds = seeds;
     }
 
     /// Takes a datagram; what does not hold is counted and dropped.
--- a/crates/duties/src/instance.rs
+++ b/crates/duties/src/instance.rs
@@ -581,10 +581,8 @@
 
     /// After a vote for someone else: no need to look before that one is late.
     fn rest_until_late(&mut self, now: Now, id: DutyId) {
-        let Some(duty) = self.duties.get(&id) else {
-            return;
-        };
-        if duty.claim.stage == Stage::Idle && duty.first != Some(self.settings.me) {
+        let first = self.duties.get(&id).and_then(|duty| duty.first);
+        if first != Some(self.settings.me) {
             self.look(now, id);
         }
     }
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -17,9 +17,6 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// The longest name of an instance, in bytes.
-pub const MAX_NAME: usize = 64;
-
 /// An instance as the others know it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Identity {
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -16,7 +16,6 @@
 //! still runs, and by the receiver's run otherwise. Only greetings are not bound to a run; all that they do is to
 //! be answered, with no more bytes than they have. What is carried is not secret.
 
-use crate::MAX_NAME;
 use std::collections::{BTreeMap, VecDeque};
 
 /// The version of the format.
@@ -252,11 +251,6 @@
             .take(kind, boot, count)?;
         Ok(opened)
     }
-
-    /// Whether a name can be one of an instance.
-    pub fn name_fits(name: &str) -> bool {
-        !name.is_empty() && name.len() <= MAX_NAME && !name.contains(char::is_whitespace)
-    }
 }
 
 impl Sender {
--- a/src/net/duties/list.rs
+++ b/src/net/duties/list.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// The row of an entry, if it is one.
+    fn read(entry: &Entry) -> Option<Self> {
+        let value = entry.value.strip_prefix(&[SERVER])?;
+        let row: Self = postcard::from_bytes(value).ok()?;
+        (row.key() == entry.key).then_some(row)
+    }
+
     fn member(&self) -> Member {
         Member {
             id: ServerId(self.id),
@@ -138,7 +145,7 @@
 
     /// Whether an entry of the board is one of the list.
     pub fn is_ours(&self, entry: &Entry) -> bool {
-        entry.key == DutyId::of(NAME).0 || entry.value.first() == Some(&SERVER)
+        entry.key == DutyId::of(NAME).0 || Row::read(entry).is_some()
     }
 
     fn fresh_until(&self) -> Option<Instant> {
@@ -184,14 +191,9 @@
             let head: Head = postcard::from_bytes(value).ok()?;
             self.head.set(Some((entry.version, head)));
             self.confirm();
-            return Some(List::default());
-        }
-        if *kind != SERVER {
             return None;
         }
-        let row: Row = postcard::from_bytes(value)
-            .ok()
-            .filter(|row: &Row| row.key() == entry.key)?;
+        let row = Row::read(entry)?;
         let member = (row.member(), row.address);
         self.rows.borrow_mut().insert(row.id, row);
         self.confirm();
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -167,8 +167,11 @@
     /// What other instances have found, and this one itself, goes into the decisions.
     async fn take_news(self: Rc<Self>, mut fresh: mpsc::Receiver<Entry>) {
         while let Some(entry) = fresh.recv().await {
-            if let Some(list) = self.news.take(&entry) {
-                self.host.list(api::ListKind::Delta, list);
+            if self.news.is_ours(&entry) {
+                // A head confirms what is known and changes nothing.
+                if let Some(list) = self.news.take(&entry) {
+                    self.host.list(api::ListKind::Delta, list);
+                }
                 continue;
             }
             let server = self.probed.borrow().get(&entry.key).copied();
