Tell stream servers' reports of message time from loads, and hear them

Replies on open connections come at once from a drowned server, so the measured delay never rose: ruled out as evidence. Traced lines of all servers showed that LOAD lines of one server come to up to 58 balancers with the same figure at the same moment, once a second, rising from 83 to 2,000 before the drop: the settings' second kind of note, message time in ms. src/net/relay.rs took every LOAD as that connection's load, so a drowning server looked lighter the more it drowned.

Change: src/net/delay.rs tells the kinds apart by the figure and by what went before, where the settings name message times; host.rs hands them on as Delay. A test with a scripted server, and three on the figures.

--- a/src/api.rs
+++ b/src/api.rs
@@ -123,6 +123,8 @@
     pub may_tell: bool,
     /// A refusal may say when to come again, and clients honour up to this.
     pub max_retry_after: Option<Time>,
+    /// Servers report, beside loads, how long messages take.
+    pub tells_delay: bool,
     /// With `Discovery::Ask`: ask at least this often while not subscribed.
     pub ask_within: Time,
     /// A started server can do at least this share of its work.
@@ -147,6 +149,7 @@
             may_cancel: false,
             may_tell: false,
             max_retry_after: None,
+            tells_delay: false,
             ask_within: 10.0,
             cold_from: 1.0,
             warm_up: 0.0,
--- a/src/config.rs
+++ b/src/config.rs
@@ -35,6 +35,7 @@
 struct Domain {
     groups: Option<bool>,
     message_aim: Option<Vec<Option<f64>>>,
+    tells_delay: Option<bool>,
 }
 
 #[derive(Deserialize, Default)]
@@ -255,11 +256,8 @@
         }
         let limits = settings.limits.unwrap_or_default();
         let rules = settings.rules.unwrap_or_default();
-        let aims = settings
-            .domain
-            .unwrap_or_default()
-            .message_aim
-            .unwrap_or_default();
+        let domain = settings.domain.unwrap_or_default();
+        let aims = domain.message_aim.unwrap_or_default();
         let aim = |i: usize| aims.get(i).copied().flatten();
         let read = classes
             .iter()
@@ -282,6 +280,7 @@
                 Some(true) => Some(figure(limits.max_retry_after, 0.0, "maxRetryAfter")?),
                 _ => None,
             },
+            tells_delay: domain.tells_delay.unwrap_or(false),
             ask_within: figure(rules.ask_within, 10.0, "askWithin")?,
             cold_from: figure(rules.cold_from, 1.0, "coldFrom")?,
             warm_up: figure(rules.warm_up, 0.0, "warmUp")?,
--- a/src/net/delay.rs
+++ b/src/net/delay.rs
@@ -1,4 +1,9 @@
-//! How long messages take at each backend now, from lines and replies.
+//! How long messages take at each backend now: from lines and replies, and from what backends report.
+//!
+//! The settings name two kinds of notes, a connection's load (microseconds of work a second) and the time of a
+//! message at its server (milliseconds). On the socket both come as `LOAD X`, with nothing to mark the kind, so
+//! it is told by the figure: a message time comes once a second while it is long, is far smaller than any load
+//! but an idle connection's, and goes on from the last one.
 
 use spanspur::api::{Config, Event, ServerId, Time};
 use std::collections::HashMap;
@@ -45,3 +50,97 @@
         Some(Event::Delay(server, took))
     }
 }
+
+/// A figure under this, a thousandth of a core, is no connection's load: it is a message time.
+const LEAST_LOAD: f64 = 1_000.0;
+/// A server with more milliseconds of work piled up than this has dropped its connections.
+const MOST_DELAY: f64 = 4_000.0;
+/// Between the two, a figure goes on from a message time reported so long ago at the most,
+const GOES_ON: Time = 1.5;
+/// or is less than this part of the connection's own load, which changes by less.
+const PART: f64 = 0.1;
+
+/// What a figure on a connection is.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Report {
+    /// The connection's load, in microseconds of work a second.
+    Load(f64),
+    /// The time that a message takes at its backend.
+    Delay(Time),
+}
+
+/// Tells the two kinds of figures apart.
+pub struct Reports {
+    tells_delay: bool,
+    /// When each backend last reported a message time.
+    delays: HashMap<ServerId, Time>,
+}
+
+impl Reports {
+    /// Takes from the settings whether message times are reported at all.
+    pub fn new(config: &Config) -> Self {
+        Self {
+            tells_delay: config.tells_delay,
+            delays: HashMap::new(),
+        }
+    }
+
+    /// Reads a figure of a connection whose load was last `load`, if it was reported yet.
+    pub fn read(&mut self, now: Time, server: ServerId, figure: f64, load: Option<f64>) -> Report {
+        let recent = self
+            .delays
+            .get(&server)
+            .is_some_and(|at| now < at + GOES_ON);
+        let small = load.is_some_and(|load| figure < load * PART);
+        if !self.tells_delay || figure >= LEAST_LOAD && (figure >= MOST_DELAY || !(recent || small))
+        {
+            return Report::Load(figure);
+        }
+        self.delays.insert(server, now);
+        Report::Delay(figure / 1000.0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SERVER: ServerId = ServerId(1);
+
+    fn kinds(figures: &[(Time, f64, Option<f64>)]) -> Vec<Report> {
+        let mut reports = Reports::new(&Config {
+            tells_delay: true,
+            ..Config::default()
+        });
+        let read = |f: &(Time, f64, Option<f64>)| reports.read(f.0, SERVER, f.1, f.2);
+        figures.iter().map(read).collect()
+    }
+
+    #[test]
+    fn a_message_time_that_grows_past_what_an_idle_connection_asks_for_stays_one() {
+        let load = Some(60_000.0);
+        let told = kinds(&[
+            (0.0, 60_000.0, None),
+            (0.5, 122.5, load),
+            (1.5, 900.0, load),
+            (2.5, 1_955.0, load),
+            (3.0, 48_000.0, load),
+            // Another connection there, nearly idle; the server's last word is a second old.
+            (3.5, 2_004.0, Some(5_000.0)),
+        ]);
+        let times: Vec<bool> = told.iter().map(|r| matches!(r, Report::Delay(_))).collect();
+        assert_eq!(times, [false, true, true, true, false, true], "{told:?}");
+    }
+
+    #[test]
+    fn a_small_load_is_a_load_where_no_message_time_came_of_late() {
+        let told = kinds(&[(0.0, 3_600.0, None), (9.0, 1_700.0, Some(3_600.0))]);
+        assert_eq!(told, [Report::Load(3_600.0), Report::Load(1_700.0)]);
+    }
+
+    #[test]
+    fn where_the_settings_name_no_message_times_all_figures_are_loads() {
+        let mut reports = Reports::new(&Config::default());
+        assert_eq!(reports.read(0.0, SERVER, 90.0, None), Report::Load(90.0));
+    }
+}
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -2,7 +2,7 @@
 //! inbox for each req, and carries out the module's actions in their order.
 
 use super::check;
-use super::delay::Delays;
+use super::delay::{Delays, Report, Reports};
 use spanspur::Balancer;
 use spanspur::api::*;
 use spanspur::config::Node;
@@ -40,6 +40,7 @@
     addresses: HashMap<ServerId, (MemberState, SocketAddr)>,
     inboxes: HashMap<RequestId, Inbox>,
     delays: Delays,
+    reports: Reports,
 }
 
 /// Shared by all tasks; never borrowed across an await.
@@ -78,6 +79,7 @@
             addresses: HashMap::new(),
             inboxes: HashMap::new(),
             delays: Delays::new(&node.config),
+            reports: Reports::new(&node.config),
         };
         Self {
             state: RefCell::new(state),
@@ -97,7 +99,9 @@
     /// Takes over what is configured anew.
     pub fn configure(self: &Rc<Self>, node: Node) {
         let config = node.config.clone();
-        self.state.borrow_mut().delays = Delays::new(&config);
+        let mut state = self.state.borrow_mut();
+        (state.delays, state.reports) = (Delays::new(&config), Reports::new(&config));
+        drop(state);
         self.node.replace(Rc::new(node));
         self.event(Event::Settings(config));
     }
@@ -248,6 +252,32 @@
         self.state.borrow_mut().order(id, order);
     }
 
+    /// Takes a figure that a backend has reported on a connection, whose load was last `load`.
+    pub fn reported(
+        self: &Rc<Self>,
+        id: RequestId,
+        server: ServerId,
+        figure: f64,
+        load: &mut Option<f64>,
+    ) {
+        let now = self.now();
+        let report = self
+            .state
+            .borrow_mut()
+            .reports
+            .read(now, server, figure, *load);
+        self.event(match report {
+            Report::Load(x) => {
+                *load = Some(x);
+                Event::Load(id, x)
+            }
+            Report::Delay(took) => {
+                tracing::debug!(%server, took, "a backend reports how long messages take");
+                Event::Delay(server, took)
+            }
+        });
+    }
+
     /// Takes the time of a message at a backend.
     pub fn message_took(self: &Rc<Self>, server: ServerId, took: Time) {
         let now = self.now();
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -157,6 +157,8 @@
     last_word: Option<Outcome>,
     /// The module knows that it is over.
     told: bool,
+    /// The connection's load, once it has been reported.
+    load: Option<f64>,
 }
 
 /// Passes lines between a client and its backend until the connection is over.
@@ -178,6 +180,7 @@
         heard: now,
         last_word: None,
         told: false,
+        load: None,
     };
     let mut up = Flow::new(Vec::new());
     let mut down = Flow::new([backend.answer.as_bytes(), b"\r\n", &backend.rest].concat());
@@ -330,7 +333,10 @@
                 "a backend said"
             );
             match Said::parse(line) {
-                Said::Load(load) => self.host.event(Event::Load(self.id, load)),
+                Said::Load(figure) => {
+                    self.host
+                        .reported(self.id, self.server, figure, &mut self.load);
+                }
                 Said::Bye => self.last_word = Some(Outcome::Ok),
                 Said::Move => self.last_word = Some(Outcome::Cancelled),
                 Said::Reply => {
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -284,3 +284,21 @@
     let calls = discovery.calls.lock().expect("whole").clone();
     assert!(calls[1].contains("since=1&"), "{calls:?}");
 }
+
+#[test]
+fn a_backend_that_reports_long_messages_is_not_taken_for_one_with_a_light_load() {
+    let (discovery, one, two) = (Discovery::new(), Backend::new("s-1"), Backend::new("s-2"));
+    let balancer = Balancer::start(&discovery, &[one.entry("SERVING"), two.entry("SERVING")]);
+    let mut client = balancer.open(0xf1, 2000);
+    let (mut server, _) = next_of(&[&one, &two]);
+    let first = server.stream().local_addr().expect("bound");
+    // Its load comes first; then its server's message time, in the same words.
+    server.say("UP r1\r\nLOAD 60000.5\r\nLOAD 400.25\r\n");
+    assert_eq!(client.line(), "UP r1\r\n");
+    assert_eq!(client.line(), "LOAD 60000.5\r\n");
+    assert_eq!(client.line(), "LOAD 400.25\r\n");
+    // The same group would go to the same server.
+    let _other = balancer.open(0xf2, 2000);
+    let (server, _) = next_of(&[&one, &two]);
+    assert_ne!(server.stream().local_addr().expect("bound"), first);
+}
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -278,7 +278,7 @@
 fn write_config(folder: &Folder, listen: SocketAddr, discovery: &str, known: &[String]) {
     let settings = r#"{"balancers":1,"zone":"a","membershipMode":"on_request",
         "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
-        "domain":{"groups":true,"messageAim":[0.25]},
+        "domain":{"groups":true,"messageAim":[0.25],"tellsDelay":true},
         "limits":{"maxAttempts":3,"connectTimeout":0.25,"cancel":true},"rules":{"askWithin":1.0}}"#;
     let known = list(1, true, known);
     let text = format!(
