Budget newcomers by their size, use due parts first, and move a drowned server's clients sooner

Cause 1, newcomers starve. What was saved up had no end: 100 nodes could have spent 100 parts at once. Now: the part comes from the server's size and the usual load, grows with the warmth of the time passed, is lost after the time of the rule, and goes before the ranking when it is due. Cause 2, drowned servers keep their clients. Nodes that hold a connection there hear it each second, and moved 12 in 100 a second, while those that hold none went on sending as many. Now 30 in 100. Cause 3, a guess of the others' loads (share(): 99 times what this node holds) closed a server for one connection there. Now a node keeps its own part of a server's room, passed by two deviations of a count of its size before it closes.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,32 +24,33 @@
 const ERRING: f64 = 0.4;
 const ERROR_STEP: f64 = 0.25;
 /// Share of this node's connections at a drowning server that is moved away each second.
-const MOVE_RATE: f64 = 0.12;
+const MOVE_RATE: f64 = 0.3;
 /// Share of the fall budget that is used; the rest is for chance and for what other nodes misjudge.
-const COLD_SAFETY: f64 = 0.5;
+const COLD_SAFETY: f64 = 0.6;
 /// What a server that drowned is sent at first, in its share of first tries; how often that doubles over
 /// the warm-up.
 const RECOVERY: f64 = 2.0;
 const RECOVERY_DOUBLINGS: f64 = 2.0;
+/// The level of a cold server whose budget allows an attempt: under any other.
+const DUE: f64 = -1.0;
+/// What a connection is held to bring before any load is known.
+const UNKNOWN_LOAD: f64 = UNIT / 10.0;
 /// Arrivals are counted over about this many seconds.
 const RATE_SPAN: Time = 10.0;
-/// Where no notes of delay come, loads tell: a server is busy from this share of its size on. Sizes are
-/// nominal and other nodes' loads are guessed, so it lies well under the whole.
-const FULL_FROM: f64 = 0.6;
-/// How much steeper than the share the level rises from there.
-const STEEP: f64 = 2.0;
+/// The share of its size that a server is filled to in the order of ranking, and a unit of size, in loads.
+const FULL_FROM: f64 = 0.8;
+const UNIT: f64 = 1e6;
+/// A node that holds little of a server knows little of it: its part may be passed by so many deviations of a
+/// count of that size (Poisson) before the server is held to be full.
+const SURE: f64 = 2.0;
 /// A guess alone holds no server to be drowning: that would turn clients away from servers with room.
 const GUESSED: f64 = 0.95;
-/// What a group costs each server that holds any of it, in mean connections; a unit of size, in loads.
-const GROUP_LOAD: f64 = 3.0;
-const UNIT: f64 = 1e6;
+/// The mean load is taken over about so many notes.
+const LOADS: f64 = 100.0;
 /// The usual set-up time is a median: each set-up moves it up or down by this factor.
 const USUAL_STEP: f64 = 1.05;
 /// Before so many set-ups none is called slow: the median is not known yet.
 const SETUPS_KNOWN: u32 = 8;
-/// Loads of a server are weighed this often, and not while notes have come of late: they know better.
-const WEIGH_EVERY: Time = 1.0;
-const NOTES_RULE: Time = 30.0;
 /// First pause before asking discovery again, as a share of `ask_within`; doubled with each failure in a row.
 const ASK_PAUSE: f64 = 1.0 / 32.0;
 /// The timer that asks discovery again.
@@ -74,10 +75,8 @@
     failures: u32,
     /// The share of errors among its answers of late.
     errors: f64,
-    /// When its loads were last weighed.
-    weighed: Time,
-    /// When a slow set-up last showed that it drowns.
-    slow: Time,
+    /// The load of the requests of this node that it holds.
+    load: f64,
     /// When it last drowned or failed: what comes back from that is let in slowly too.
     sick: Time,
     /// Attempts that this node may still send while the server is cold or sick, and when that was counted.
@@ -118,13 +117,13 @@
     /// How often waiting requests are looked at; time of a message from which its server is busy.
     wake: Time,
     busy_at: Time,
-    /// When a note of delay last came.
-    last_note: Option<Time>,
     /// The median time of a set-up here, 0 before the first, and of how many set-ups.
     usual_setup: Time,
     setups: u32,
     asks_failed: i32,
     started: bool,
+    /// The mean load of a connection, by so many notes.
+    usual_load: (f64, f64),
     /// First tries a second, and when that was counted.
     rate: (f64, Time),
     /// Connections of this node that stand.
@@ -195,19 +194,8 @@
             Event::Open(request, server) => self.open(now, request, *server),
             Event::Standing(id, server) => self.stand(now, *id, *server, out),
             Event::Ended(ended) => self.ended(now, ended, out),
-            Event::Load(id, load) => {
-                let live = self.live.get_mut(id);
-                live.into_iter().for_each(|live| live.load = *load);
-                // Those that a set-up showed to be slow are looked at whoever tells: their own may not.
-                let slow = |s: &&Server| now < s.slow + NOTE_LASTS || s.held.contains(id);
-                let due: Vec<ServerId> =
-                    self.servers.iter().filter(slow).map(|s| s.at.id).collect();
-                due.into_iter().for_each(|id| self.weigh(now, id, out));
-            }
-            Event::Delay(server, delay) => {
-                self.last_note = Some(now);
-                self.noted(now, *server, delay / self.busy_at, out);
-            }
+            Event::Load(id, load) => self.loaded(*id, *load),
+            Event::Delay(server, delay) => self.noted(now, *server, delay / self.busy_at, out),
             Event::Probed(id, shut) => self.probed(now, *id, *shut),
             Event::Gone(id) => self.left(*id, out),
             Event::Timer(ASK) => out.push(Action::Watch),
@@ -260,8 +248,7 @@
                 shut_until: 0.0,
                 failures: 0,
                 errors: 0.0,
-                weighed: now,
-                slow: f64::NEG_INFINITY,
+                load: 0.0,
                 sick: f64::NEG_INFINITY,
                 tokens: (self.random(), now),
             };
@@ -270,7 +257,12 @@
                 // A restart under the same id: what was held against the old process is void.
                 Ok(place) if self.servers[place].at.started != at.started => {
                     let held = std::mem::take(&mut self.servers[place].held);
-                    self.servers[place] = Server { held, ..fresh };
+                    let load = self.servers[place].load;
+                    self.servers[place] = Server {
+                        held,
+                        load,
+                        ..fresh
+                    };
                 }
                 Ok(place) => self.servers[place].at = at,
             }
@@ -293,8 +285,8 @@
             let decayed = rate * libm::exp((since - now) / RATE_SPAN);
             self.rate = (decayed + 1.0 / RATE_SPAN, now);
         }
-        self.live
-            .insert(request.id, Live::new(now, request, Phase::Held));
+        let live = Live::new(now, request, Phase::Held, self.mean_load());
+        self.live.insert(request.id, live);
         self.attempt(now, request.id, out);
     }
 
@@ -302,11 +294,12 @@
         if self.live.contains_key(&request.id) {
             return;
         }
+        let live = Live::new(now, request, Phase::Standing(server), self.mean_load());
         let Some(at) = self.find(server) else { return };
         at.held.insert(request.id);
+        at.load += live.load;
         self.standing += 1;
-        self.live
-            .insert(request.id, Live::new(now, request, Phase::Standing(server)));
+        self.live.insert(request.id, live);
     }
 
     /// The share of its capacity that a server has at least by now: it grows evenly while it is cold.
@@ -319,18 +312,26 @@
     }
 
     /// Attempts that this node may send to a cold server by now: its part of the fall budget, which all nodes
-    /// keep together. It starts with a random part of one, or small parts would never add up to any.
+    /// keep together. It starts with a random part of one, or small parts would never add up to any. What is
+    /// not used in time is lost: parts saved up by many nodes would come in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
-        let rate = if warmth < 1.0 {
-            let turnover = f64::from(self.standing) / self.config.warm_up;
-            COLD_SAFETY * (self.config.fall_multiple * warmth * turnover.max(self.rate.0))
+        let (tokens, since) = server.tokens;
+        let fill = if warmth < 1.0 {
+            let warmth = (warmth + self.warmth(since, server)) / 2.0;
+            let capacity = UNIT * server.at.weight / self.mean_load();
+            let rate = COLD_SAFETY * self.config.fall_multiple * warmth * capacity;
+            rate / self.config.warm_up / f64::from(self.config.nodes.max(1))
         } else {
             let recovered = (now - server.sick) / self.config.warm_up;
-            RECOVERY * (self.rate.0 * libm::exp2(RECOVERY_DOUBLINGS * recovered))
+            let rate = RECOVERY * (self.rate.0 * libm::exp2(RECOVERY_DOUBLINGS * recovered));
+            rate / self.servers.len() as f64
         };
-        let fill = rate / self.servers.len() as f64;
-        let (tokens, since) = server.tokens;
-        (tokens + fill * (now - since)).min((fill * self.config.fall).max(1.0))
+        let most = (fill * self.config.fall).max(1.0);
+        let tokens = tokens + fill * (now - since);
+        if warmth < 1.0 && tokens >= 1.0 && tokens.fract() > fill * self.config.fall {
+            return tokens.fract();
+        }
+        tokens.min(most)
     }
 
     /// Where this request goes next. `None`: nowhere.
@@ -363,10 +364,14 @@
             if (warmth < 1.0 || sick) && self.budget(now, server, warmth) < 1.0 {
                 continue;
             }
-            let level = match server.shut_until > now && !request.mid_flow {
-                true if server.failures > 0 => f64::INFINITY,
-                true => server.level,
-                false => 0.0,
+            let shut = server.shut_until > now;
+            let level = match () {
+                () if request.mid_flow => 0.0,
+                () if shut && server.failures > 0 => f64::INFINITY,
+                () if shut => server.level,
+                // What a cold server may be sent is its budget's to say: a part that is due goes first.
+                () if warmth < 1.0 => DUE,
+                () => self.over(server, warmth).min(GUESSED),
             };
             // Where every server drowns or fails, hunting for room drowns them all: wait instead.
             if level >= DROWNING || best.is_some_and(|(low, ..)| level > low) {
@@ -382,7 +387,7 @@
                 best = Some((level, score, server.at.id, weight, h));
             }
         }
-        let fits = |level| but.is_none() || level == 0.0;
+        let fits = |level| but.is_none() || level <= 0.0;
         best.filter(|b| fits(b.0)).map(|b| b.2)
     }
 
@@ -391,7 +396,7 @@
         let Some(live) = self.live.get(&id) else {
             return;
         };
-        let due = live.request.due;
+        let (due, load) = (live.request.due, live.load);
         // A second run of what may have run must be harmless, or discarded by the servers.
         let barred = match (self.class(live).map(|class| class.effect), live.maybe_ran) {
             (Some(Effect::Unsafe), Some(_)) => true,
@@ -425,6 +430,7 @@
             let tokens = self.budget(now, &self.servers[at], warmth) - 1.0;
             self.servers[at].tokens = (tokens.max(0.0), now);
             self.servers[at].held.insert(id);
+            self.servers[at].load += load;
         }
         if let Some(live) = self.live.get_mut(&id) {
             (live.phase, live.sent) = (Phase::Out(server), now);
@@ -464,17 +470,18 @@
     /// Drops all that is kept for a request.
     fn forget(&mut self, id: RequestId) -> Option<Live> {
         let live = self.live.remove(&id)?;
-        self.detach(id, live.phase);
+        self.detach(id, live.phase, live.load);
         Some(live)
     }
 
     /// Takes a request off the server that it is out or stands at.
-    fn detach(&mut self, id: RequestId, phase: Phase) {
+    fn detach(&mut self, id: RequestId, phase: Phase, load: f64) {
         self.standing -= u32::from(matches!(phase, Phase::Standing(_)));
         if let Phase::Out(server) | Phase::Standing(server) = phase
             && let Some(server) = self.find(server)
         {
             server.held.remove(&id);
+            server.load -= load;
         }
     }
 
@@ -495,7 +502,7 @@
                 server.failures = 0;
             }
         }
-        let (usual, notes) = (self.usual_setup, self.notes_tell(now));
+        let usual = self.usual_setup;
         self.usual_setup = match took > usual {
             _ if usual <= 0.0 => took,
             true => usual * USUAL_STEP,
@@ -503,8 +510,7 @@
         };
         self.setups = self.setups.saturating_add(1);
         let level = (took - usual) / self.busy_at;
-        if self.setups > SETUPS_KNOWN && level >= 1.0 && !notes {
-            self.find(server).into_iter().for_each(|s| s.slow = now);
+        if self.setups > SETUPS_KNOWN && level >= 1.0 {
             self.noted(now, server, level, out);
         }
     }
@@ -514,7 +520,7 @@
         let Some(live) = self.live.get(&id) else {
             return;
         };
-        let (sent, phase) = (live.sent, live.phase);
+        let (sent, phase, load) = (live.sent, live.phase, live.load);
         // News of an attempt that is not the one out: it was given up before.
         if !ended.settled && phase != Phase::Out(to) && phase != Phase::Standing(to) {
             return;
@@ -548,7 +554,7 @@
             self.forget(id);
             return;
         }
-        self.detach(id, phase);
+        self.detach(id, phase, load);
         if let Some(live) = self.live.get_mut(&id) {
             live.phase = Phase::Held;
             let never_ran = matches!(how, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot);
@@ -564,48 +570,42 @@
         self.attempt(now, id, out);
     }
 
-    /// The share of its size that a server bears, by the loads that this node sees. The other nodes are held
-    /// to have as many connections there as this one, of the mean load: a group's are spread over all nodes.
-    fn share(&self, now: Time, server: &Server) -> f64 {
-        let standing = |live: &&Live| matches!(live.phase, Phase::Standing(_));
-        let all = self.live.values().filter(standing).map(|live| live.load);
-        let mean = all.sum::<f64>() / f64::from(self.standing.max(1));
-        let here = server.held.iter().filter_map(|id| self.live.get(id));
-        let own: f64 = here.clone().map(|live| live.load).sum();
-        let groups: BTreeSet<Key> = here.filter_map(|live| live.request.group).collect();
-        let others = f64::from(self.config.nodes.saturating_sub(1)) * server.held.len() as f64;
-        let load = own + mean * (others + GROUP_LOAD * groups.len() as f64);
-        load / (UNIT * server.at.weight * self.warmth(now, server))
-    }
-
-    /// Notes of delay have come of late.
-    fn notes_tell(&self, now: Time) -> bool {
-        self.last_note.is_some_and(|note| now < note + NOTES_RULE)
-    }
-
-    /// Where messages tell nothing of a server's state, the loads of its connections do, and slow set-ups.
-    fn weigh(&mut self, now: Time, id: ServerId, out: &mut Vec<Action>) {
-        let at = self.servers.binary_search_by_key(&id, |s| s.at.id);
-        let Some(server) = at.ok().map(|at| &self.servers[at]) else {
+    /// Takes the load of a connection, and the mean with it.
+    fn loaded(&mut self, id: RequestId, load: f64) {
+        let Some(live) = self.live.get_mut(&id) else {
             return;
         };
-        if self.notes_tell(now) {
-            return;
+        let (was, phase) = (std::mem::replace(&mut live.load, load), live.phase);
+        if let Phase::Out(server) | Phase::Standing(server) = phase
+            && let Some(server) = self.find(server)
+        {
+            server.load += load - was;
         }
-        let guess = 1.0 + (self.share(now, server) / FULL_FROM - 1.0) * STEEP;
-        let slow = now < server.slow + NOTE_LASTS;
-        let level = guess.min(DROWNING * GUESSED);
-        let level = level.max(if slow { server.level } else { 0.0 });
-        let (was, due) = (server.level, now >= server.weighed + WEIGH_EVERY);
-        // A wave fills a server in less time than lies between two looks: what rises counts at once.
-        if level.max(was) < 1.0 || !(due || level > was) {
-            return;
+        let (mean, notes) = self.usual_load;
+        let notes = (notes + 1.0).min(LOADS);
+        self.usual_load = (mean + (load - mean) / notes, notes);
+    }
+
+    fn mean_load(&self) -> f64 {
+        match self.usual_load {
+            (mean, notes) if notes > 0.0 && mean > 0.0 => mean,
+            _ => UNKNOWN_LOAD,
         }
-        self.hold(now, id, level);
-        if due {
-            self.find(id).into_iter().for_each(|s| s.weighed = now);
-            self.shed(now, id, guess.max(level), out);
+    }
+
+    /// How far this node's load at a server lies over its part of what the server is filled to, with one
+    /// connection more. Nodes do not know each other's loads: each keeps its part, so that the sum is kept.
+    fn over(&self, server: &Server, warmth: f64) -> f64 {
+        if self.usual_load.1 == 0.0 {
+            return 0.0;
         }
+        let whole = FULL_FROM * UNIT * server.at.weight * warmth;
+        let (part, mean) = (
+            whole / f64::from(self.config.nodes.max(1)),
+            self.mean_load(),
+        );
+        let most = part + SURE * libm::sqrt(part * mean);
+        ((server.load.max(0.0) + mean) / most - 1.0).max(0.0)
     }
 
     /// A busy server gets nothing new, and some connections move down their ranking.
@@ -664,7 +664,7 @@
 }
 
 impl Live {
-    fn new(now: Time, request: &Request, phase: Phase) -> Self {
+    fn new(now: Time, request: &Request, phase: Phase, usual_load: f64) -> Self {
         Self {
             request: *request,
             phase,
@@ -672,7 +672,7 @@
             tried: Vec::new(),
             sent: now,
             maybe_ran: None,
-            load: request.hint.unwrap_or(0.0),
+            load: request.hint.unwrap_or(usual_load),
             errors: 0,
         }
     }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -252,30 +252,22 @@
         self.state.borrow_mut().order(id, order);
     }
 
-    /// Takes a figure that a backend has reported on a connection, whose load was last `load`.
-    pub fn reported(
-        self: &Rc<Self>,
-        id: RequestId,
-        server: ServerId,
-        figure: f64,
-        load: &mut Option<f64>,
-    ) {
+    /// Takes a figure that a backend has reported on a connection; `first` if none was before.
+    pub fn reported(self: &Rc<Self>, id: RequestId, server: ServerId, figure: f64, first: bool) {
         let now = self.now();
         let report = self
             .state
             .borrow_mut()
             .reports
-            .read(now, server, figure, *load);
-        self.event(match report {
-            Report::Load(x) => {
-                *load = Some(x);
-                Event::Load(id, x)
-            }
+            .read(now, server, figure, first);
+        match report {
+            Report::Load(load) => self.event(Event::Load(id, load)),
             Report::Delay(took) => {
                 tracing::debug!(%server, took, "a backend reports how long messages take");
-                Event::Delay(server, took)
+                self.event(Event::Delay(server, took));
             }
-        });
+            Report::Unclear => {}
+        }
     }
 
     /// Takes the time of a message at a backend.
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -157,8 +157,8 @@
     last_word: Option<Outcome>,
     /// The module knows that it is over.
     told: bool,
-    /// The connection's load, once it has been reported.
-    load: Option<f64>,
+    /// The backend has reported a figure on the connection.
+    reported: bool,
 }
 
 /// Passes lines between a client and its backend until the connection is over.
@@ -180,7 +180,7 @@
         heard: now,
         last_word: None,
         told: false,
-        load: None,
+        reported: false,
     };
     let mut up = Flow::new(Vec::new());
     let mut down = Flow::new([backend.answer.as_bytes(), b"\r\n", &backend.rest].concat());
@@ -334,8 +334,8 @@
             );
             match Said::parse(line) {
                 Said::Load(figure) => {
-                    self.host
-                        .reported(self.id, self.server, figure, &mut self.load);
+                    let first = !std::mem::replace(&mut self.reported, true);
+                    self.host.reported(self.id, self.server, figure, first);
                 }
                 Said::Bye => self.last_word = Some(Outcome::Ok),
                 Said::Move => self.last_word = Some(Outcome::Cancelled),
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,160 @@
+//! Many nodes that share nothing, in virtual time, against servers that count what all of them send.
+
+mod common;
+use common::*;
+use spanspur::api::*;
+use std::collections::BTreeMap;
+
+const NODES: u32 = 100;
+const WARM_UP: Time = 24.0;
+/// The load of every connection: a server of size 7 is full with 100.
+const LOAD: f64 = 70_000.0;
+const SIZE: f64 = 7.0;
+
+fn of_size(number: u64) -> Member {
+    Member {
+        weight: SIZE,
+        ..server(number)
+    }
+}
+
+/// A fleet of nodes, each of which holds connections at each of six old servers in turn.
+struct Fleet {
+    nodes: Vec<Node>,
+    random: u64,
+}
+
+impl Fleet {
+    fn new(held: u64) -> Self {
+        let config = Config {
+            nodes: NODES,
+            classes: vec![Class {
+                message_aim: Some(0.25),
+                ..Class::default()
+            }],
+            max_attempts: 5,
+            cold_from: 0.13,
+            warm_up: WARM_UP,
+            fall_multiple: 3.0,
+            fall: 2.0,
+            ..Config::default()
+        };
+        let old: Vec<Member> = (0..6).map(of_size).collect();
+        let node = |seed: u64| {
+            let mut node = Node::seeded(config.clone(), seed + 1);
+            node.list(0.0, ListKind::Cached, &old);
+            for i in 0..held {
+                let id = RequestId(1_000_000 + i);
+                let to = old[((seed + i) % 6) as usize].id;
+                node.give(0.0, Event::Open(Request::new(id, 0, 2.0), to));
+                node.give(0.1, Event::Load(id, LOAD));
+            }
+            node
+        };
+        Self {
+            nodes: (0..u64::from(NODES)).map(node).collect(),
+            random: 1,
+        }
+    }
+
+    fn random(&mut self) -> u64 {
+        self.random = self.random.wrapping_mul(6_364_136_223_846_793_005) + 1;
+        self.random >> 33
+    }
+
+    /// A client of some group comes to this node and stands at once where it is sent.
+    fn come(&mut self, now: Time, node: usize, group: u64) -> Option<ServerId> {
+        let id = self.nodes[node].next_id();
+        let request = Request {
+            group: Some(Key::of(&group.to_string())),
+            ..Request::new(id, 0, now + 2.0)
+        };
+        let to = self.nodes[node].ask(now, request)?;
+        self.nodes[node].give(now, Event::Standing(id, to));
+        self.nodes[node].give(now, Event::Load(id, LOAD));
+        Some(to)
+    }
+
+    fn tell(&mut self, now: Time, entries: &[Member]) {
+        for node in &mut self.nodes {
+            node.list(now, ListKind::Delta, entries);
+        }
+    }
+}
+
+/// What a server of that size may be sent in the two seconds from `age` on before it falls over.
+fn bearable(age: Time) -> f64 {
+    let warmth = 0.13 + 0.87 * (age / WARM_UP).min(1.0);
+    3.0 * warmth * (SIZE * 1e6 / LOAD) / WARM_UP * 2.0
+}
+
+#[test]
+fn newcomers_are_used_and_not_pushed_over_though_each_node_meets_them_seldom() {
+    let mut fleet = Fleet::new(5);
+    let cold: Vec<Member> = (10..20)
+        .map(|i| Member {
+            started: 100.0,
+            ..of_size(i)
+        })
+        .collect();
+    fleet.tell(101.0, &cold);
+    // 30 clients a second, of all nodes together.
+    let mut sent: BTreeMap<ServerId, Vec<Time>> = BTreeMap::new();
+    for i in 0..600 {
+        let now = 101.0 + f64::from(i) / 30.0;
+        let (node, group) = (fleet.random() as usize % 100, fleet.random() % 10);
+        let to = fleet.come(now, node, group).expect("somebody has room");
+        sent.entry(to).or_default().push(now);
+    }
+    let mut new = 0;
+    for server in &cold {
+        let times = sent.remove(&server.id).unwrap_or_default();
+        new += times.iter().filter(|at| **at < 111.0).count();
+        for (i, at) in times.iter().enumerate() {
+            let window = times[i..].iter().take_while(|t| **t < at + 2.0).count();
+            let most = bearable(at - 100.0);
+            assert!(
+                window as f64 <= most.max(2.0),
+                "{window} from {at}, {most} bearable"
+            );
+        }
+    }
+    // They can do 0.3 of the old ones' work by then, ten of them to six: a third of what came is theirs.
+    assert!(new > 60, "{new} of 300 in ten seconds");
+}
+
+#[test]
+fn parts_of_a_budget_that_nobody_used_do_not_come_in_one_wave() {
+    let mut fleet = Fleet::new(5);
+    let cold = Member {
+        started: 100.0,
+        ..of_size(10)
+    };
+    fleet.tell(100.5, &[cold]);
+    // Nothing comes for 12 s; then each node's clients come back at once.
+    let mut there = 0;
+    for node in 0..NODES as usize {
+        there += usize::from(fleet.come(112.0, node, node as u64) == Some(cold.id));
+    }
+    let most = bearable(12.0);
+    assert!((there as f64) < most, "{there} at once, {most} bearable");
+    assert!(there > 0, "what is due is used");
+}
+
+#[test]
+fn a_node_with_one_connection_does_not_hold_a_hundred_others_to_have_one_each() {
+    // 100 connections over six servers that bear 100 each: whoever comes goes where its group ranks first.
+    let mut fleet = Fleet::new(1);
+    let list: Vec<Member> = (0..6).map(of_size).collect();
+    for node in 0..NODES as usize {
+        for group in 0..3 {
+            let key = Key::of(&group.to_string());
+            let score = |m: &&Member| spanspur::score(key, m.id, SIZE);
+            let first = list.iter().max_by(|a, b| score(a).total_cmp(&score(b)));
+            let to = fleet.come(1.0, node, group);
+            assert_eq!(to, first.map(|m| m.id), "node {node}, group {group}");
+            let id = RequestId(u64::from(group as u32) + 1);
+            fleet.nodes[node].give(1.0, Event::Gone(id));
+        }
+    }
+}
