--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,8 +23,10 @@
 /// A server errs from this share of errors among its answers on; each answer weighs so much in it.
 const ERRING: f64 = 0.4;
 const ERROR_STEP: f64 = 0.25;
-/// Share of this node's connections at a drowning server that is moved away each second.
-const MOVE_RATE: f64 = 0.3;
+/// Share of its connections that leaves a drowning server each second, and how much more where a node holds
+/// but one there: then many nodes hold none, hear nothing and go on sending.
+const MOVE_RATE: f64 = 0.12;
+const MOVE_MORE: f64 = 1.5;
 /// Share of the fall budget that is used; the rest is for chance and for what other nodes misjudge.
 const COLD_SAFETY: f64 = 0.6;
 /// What a server that drowned is sent at first, in its share of first tries; how often that doubles over
@@ -40,8 +42,7 @@
 /// The share of its size that a server is filled to in the order of ranking, and a unit of size, in loads.
 const FULL_FROM: f64 = 0.8;
 const UNIT: f64 = 1e6;
-/// A node that holds little of a server knows little of it: its part may be passed by so many deviations of a
-/// count of that size (Poisson) before the server is held to be full.
+/// Who holds little of a server knows little of it: its part may be passed by so many (Poisson) deviations.
 const SURE: f64 = 2.0;
 /// A guess alone holds no server to be drowning: that would turn clients away from servers with room.
 const GUESSED: f64 = 0.95;
@@ -311,9 +312,8 @@
         self.config.cold_from + (1.0 - self.config.cold_from) * age.max(0.0)
     }
 
-    /// Attempts that this node may send to a cold server by now: its part of the fall budget, which all nodes
-    /// keep together. It starts with a random part of one, or small parts would never add up to any. What is
-    /// not used in time is lost: parts saved up by many nodes would come in one wave.
+    /// Attempts that a cold server may be sent by now: this node's part of the budget, from a random part of one
+    /// on, or small parts would never add up. What is not used in time is lost: saved up, it comes in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
         let (tokens, since) = server.tokens;
         let fill = if warmth < 1.0 {
@@ -587,10 +587,8 @@
     }
 
     fn mean_load(&self) -> f64 {
-        match self.usual_load {
-            (mean, notes) if notes > 0.0 && mean > 0.0 => mean,
-            _ => UNKNOWN_LOAD,
-        }
+        let mean = Some(self.usual_load.0).filter(|mean| *mean > 0.0);
+        mean.unwrap_or(UNKNOWN_LOAD)
     }
 
     /// How far this node's load at a server lies over its part of what the server is filled to, with one
@@ -630,7 +628,8 @@
         }
         let held = self.find(id).map(|s| s.held.iter().copied().collect());
         let held: Vec<RequestId> = held.unwrap_or_default();
-        let count = held.len() as f64 * MOVE_RATE * ((level - 1.0) / (DROWNED - 1.0)).min(1.0);
+        let rate = MOVE_RATE * (1.0 + MOVE_MORE * libm::exp(1.0 - held.len() as f64));
+        let count = held.len() as f64 * rate * ((level - 1.0) / (DROWNED - 1.0)).min(1.0);
         let here = held.iter().filter_map(|id| self.live.get(id));
         let mut heavy: Vec<&Live> = here.filter(|l| l.phase == Phase::Standing(id)).collect();
         heavy.sort_by(|a, b| b.load.total_cmp(&a.load));
