--- a/src/choice.rs
+++ b/src/choice.rs
@@ -312,8 +312,8 @@
         self.config.cold_from + (1.0 - self.config.cold_from) * age.max(0.0)
     }
 
-    /// Attempts that a cold server may be sent by now: this node's part of the budget, from a random part of one
-    /// on, or small parts would never add up. What is not used in time is lost: saved up, it comes in one wave.
+    /// Attempts that a cold server may be sent by now: this node's part of the budget, from a random part of
+    /// one on, or small parts never add up. What is not used in time is lost: saved up, it comes in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
         let (tokens, since) = server.tokens;
         let fill = if warmth < 1.0 {
