--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,7 +26,7 @@
 /// Share of its connections that leaves a drowning server each second, and how much more where a node holds
 /// but one there: then many nodes hold none, hear nothing and go on sending.
 const MOVE_RATE: f64 = 0.12;
-const MOVE_MORE: f64 = 1.5;
+const MOVE_MORE: f64 = 2.5;
 /// Share of the fall budget that is used; the rest is for chance and for what other nodes misjudge.
 const COLD_SAFETY: f64 = 0.6;
 /// What a server that drowned is sent at first, in its share of first tries; how often that doubles over
