--- a/src/net/req.rs
+++ b/src/net/req.rs
@@ -7,7 +7,7 @@
 use super::relay::{relay, say_last};
 use super::room::Place;
 use socket2::SockRef;
-use spanspur::api::{Ended, Event, Outcome, RequestId, ServerId, Time};
+use spanspur::api::{Ended, Event, Outcome, Request, RequestId, ServerId, Time};
 use std::io::ErrorKind;
 use std::pin::pin;
 use std::rc::Rc;
@@ -151,10 +151,18 @@
         let Some(backend) = backend else {
             return failed();
         };
+        tracing::debug!(req = %id, server = %server, group = ?opening.request.group, "is open");
         host.event(Event::Open(opening.request, server));
         host.stands(id);
         return Opened::Stands(ticket, (id, server, 0), backend, orders);
     }
+    let Request {
+        class,
+        group,
+        returned,
+        ..
+    } = opening.request;
+    tracing::debug!(req = %id, class, ?group, returned, wait = opening.wait, "asks");
     host.event(Event::Request(opening.request));
     let mut attempt = 0;
     // Nothing here waits past the deadline; if something does, the client is still owed its answer.
