--- a/src/choice.rs
+++ b/src/choice.rs
@@ -595,8 +595,8 @@
         let whole = FULL_FROM * UNIT * server.at.weight * warmth;
         let part = whole / f64::from(self.config.nodes.max(1));
         let mean = self.mean_load();
-        // Whose part is less than a connection learns nothing from holding one or none: a guess would send each
-        // of a group's clients to another server, and every server that holds one pays for the group.
+        // Whose part is less than a connection learns nothing from holding one or none: a guess would send
+        // a group's clients to a server each, and every server that holds one pays for the group.
         if part < mean {
             return 0.0;
         }
