--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -18,7 +18,7 @@
     }
 }
 
-/// A fleet of nodes, each of which holds connections at each of six old servers in turn.
+/// A fleet of nodes, each of which holds connections at each of the old servers in turn.
 struct Fleet {
     nodes: Vec<Node>,
     random: Random,
@@ -26,8 +26,12 @@
 
 impl Fleet {
     fn new(held: u64) -> Self {
+        Self::of(NODES, 6, held)
+    }
+
+    fn of(nodes: u32, servers: u64, held: u64) -> Self {
         let config = Config {
-            nodes: NODES,
+            nodes,
             classes: vec![Class {
                 message_aim: Some(0.25),
                 ..Class::default()
@@ -39,20 +43,20 @@
             fall: 2.0,
             ..Config::default()
         };
-        let old: Vec<Member> = (0..6).map(of_size).collect();
+        let old: Vec<Member> = (0..servers).map(of_size).collect();
         let node = |seed: u64| {
             let mut node = Node::seeded(config.clone(), seed + 1);
             node.list(0.0, ListKind::Cached, &old);
             for i in 0..held {
                 let id = RequestId(1_000_000 + i);
-                let to = old[((seed + i) % 6) as usize].id;
+                let to = old[((seed + i) % servers) as usize].id;
                 node.give(0.0, Event::Open(Request::new(id, 0, 2.0), to));
                 node.give(0.1, Event::Load(id, LOAD));
             }
             node
         };
         Self {
-            nodes: (0..u64::from(NODES)).map(node).collect(),
+            nodes: (0..u64::from(nodes)).map(node).collect(),
             random: Random(1),
         }
     }
@@ -101,21 +105,64 @@
         let to = fleet.come(now, node, group).expect("somebody has room");
         sent.entry(to).or_default().push(now);
     }
+    let new = bears(&sent, &cold, 111.0);
+    // Ten that warm beside six old ones: a fifth of what came at least is theirs.
+    assert!(new > 60, "{new} of 300 in ten seconds");
+}
+
+/// Every cold server bears what all nodes sent it, in any two seconds; returns how many came there before `until`.
+fn bears(sent: &BTreeMap<ServerId, Vec<Time>>, cold: &[Member], until: Time) -> usize {
     let mut new = 0;
-    for server in &cold {
-        let times = sent.remove(&server.id).unwrap_or_default();
-        new += times.iter().filter(|at| **at < 111.0).count();
+    for server in cold {
+        let times = sent.get(&server.id).map_or(&[][..], |times| times);
+        new += times.iter().filter(|at| **at < until).count();
         for (i, at) in times.iter().enumerate() {
             let window = times[i..].iter().take_while(|t| **t < at + 2.0).count();
-            let most = bearable(at - 100.0);
+            let most = bearable(at - server.started);
             assert!(
                 window as f64 <= most.max(2.0),
                 "{window} from {at}, {most} bearable"
             );
         }
     }
-    // Ten that warm beside six old ones: a fifth of what came at least is theirs.
-    assert!(new > 60, "{new} of 300 in ten seconds");
+    new
+}
+
+#[test]
+fn of_90_servers_54_are_replaced_in_7_s_and_300_nodes_use_them_and_push_none_over() {
+    let mut fleet = Fleet::of(300, 36, 5);
+    let cold: Vec<Member> = (40..94)
+        .map(|i| Member {
+            started: 100.0 + 7.0 * (i - 40) as f64 / 54.0,
+            ..of_size(i)
+        })
+        .collect();
+    let mut told = 0;
+    // Clients of all nodes together that come again and again, of 70 groups of uneven size: 1,000 a second.
+    let mut sent: BTreeMap<ServerId, Vec<Time>> = BTreeMap::new();
+    for i in 0..15_000 {
+        let now = 100.0 + f64::from(i) / 1000.0;
+        let known = cold.iter().take_while(|s| s.started + 1.0 <= now).count();
+        if known > told {
+            fleet.tell(now, &cold[told..known]);
+            told = known;
+        }
+        let node = fleet.random.below(300) as usize;
+        let group = fleet.random.below(70) * fleet.random.below(70) / 70;
+        if let Some(to) = fleet.come(now, node, group) {
+            sent.entry(to).or_default().push(now);
+        }
+    }
+    let new = bears(&sent, &cold, 115.0);
+    // Six tenths of three times what fills them over their warm-up, as warm as they are by then.
+    let due: Time = cold
+        .iter()
+        .map(|s| {
+            let age = 114.0 - s.started;
+            0.6 * bearable(age / 2.0) / 2.0 * age
+        })
+        .sum();
+    assert!(new as f64 > due / 2.0, "{new} at newcomers, {due} due");
 }
 
 #[test]
