--- a/src/choice.rs
+++ b/src/choice.rs
@@ -314,7 +314,8 @@
         (f64::from(self.config.number) * GOLDEN + fraction(mix64(id.0))).fract()
     }
 
-    /// Attempts that a cold server may be sent by now: this node's part of the budget. What is not used in time is lost: saved up, it comes in one wave.
+    /// Attempts that a cold server may be sent by now: this node's part of the budget. What is not used in time
+    /// is lost: saved up, it comes in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
         let (tokens, since) = server.tokens;
         let fill = if warmth < 1.0 {
