--- a/src/choice.rs
+++ b/src/choice.rs
@@ -308,14 +308,13 @@
         self.config.cold_from + (1.0 - self.config.cold_from) * age.max(0.0)
     }
 
-    /// What this node has of its first attempt when a server is listed. Small parts never add up from nothing,
-    /// and with the golden ratio between nodes those of a fleet fall due evenly spaced, not at random.
+    /// What a node has of its first attempt when a server is listed: small parts never add up from nothing,
+    /// and by the golden ratio between nodes a fleet's parts fall due evenly spaced, not at random.
     fn part_of_first(&self, id: ServerId) -> f64 {
         (f64::from(self.config.number) * GOLDEN + fraction(mix64(id.0))).fract()
     }
 
-    /// Attempts that a cold server may be sent by now: this node's part of the budget. What is not used in time
-    /// is lost: saved up, it comes in one wave.
+    /// What a cold server may be sent by now. What is not used in time is lost: saved up, it comes in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
         let (tokens, since) = server.tokens;
         let fill = if warmth < 1.0 {
