--- a/src/choice.rs
+++ b/src/choice.rs
@@ -314,7 +314,7 @@
         (f64::from(self.config.number) * GOLDEN + fraction(mix64(id.0))).fract()
     }
 
-    /// What a cold server may be sent by now. What is not used in time is lost: saved up, it comes in one wave.
+    /// What a cold server may be sent by now. What is not used in time is lost: it would come in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
         let (tokens, since) = server.tokens;
         let fill = if warmth < 1.0 {
