Take back the spacing of the nodes' parts of the fall budget: two rule tests fail

tests/rules.rs, a_cold_server_gets_its_budget_... and a_started_server_gets_more_..., build nodes that all have number 0, and one states the share of 0.6 of the budget.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,12 +28,11 @@
 const MOVE_RATE: f64 = 0.12;
 const MOVE_MORE: f64 = 2.5;
 /// Share of the fall budget that is used; the rest is for chance and for what other nodes misjudge.
-const COLD_SAFETY: f64 = 0.75;
+const COLD_SAFETY: f64 = 0.6;
 /// What a server that drowned is sent at first, in its share of first tries; how often that doubles over
 /// the warm-up.
 const RECOVERY: f64 = 2.0;
 const RECOVERY_DOUBLINGS: f64 = 2.0;
-const GOLDEN: f64 = 0.618_033_988_749_895;
 /// The level of a cold server whose budget allows an attempt: under any other.
 const DUE: f64 = -1.0;
 /// What a connection is held to bring before any load is known.
@@ -252,7 +251,7 @@
                 errors: 0.0,
                 load: 0.0,
                 sick: f64::NEG_INFINITY,
-                tokens: (self.part_of_first(at.id), now),
+                tokens: (self.random(), now),
             };
             match self.servers.binary_search_by_key(&at.id, |s| s.at.id) {
                 Err(place) => self.servers.insert(place, fresh),
@@ -308,13 +307,8 @@
         self.config.cold_from + (1.0 - self.config.cold_from) * age.max(0.0)
     }
 
-    /// What a node has of its first attempt when a server is listed: small parts never add up from nothing,
-    /// and by the golden ratio between nodes a fleet's parts fall due evenly spaced, not at random.
-    fn part_of_first(&self, id: ServerId) -> f64 {
-        (f64::from(self.config.number) * GOLDEN + fraction(mix64(id.0))).fract()
-    }
-
-    /// What a cold server may be sent by now. What is not used in time is lost: it would come in one wave.
+    /// Attempts that a cold server may be sent by now: this node's part of the budget, from a random part of
+    /// one on, or small parts never add up. What is not used in time is lost: saved up, it comes in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
         let (tokens, since) = server.tokens;
         let fill = if warmth < 1.0 {
