--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -206,32 +206,10 @@
 fn a_group_stays_together_at_nodes_that_hold_less_than_one_connection_of_each_server() {
     // 300 nodes and 90 servers: a node's part of a server is a quarter of a connection. Each server that holds one
     // of a group pays for the group, so a second client of a group has to go where the first one stands.
-    let list: Vec<Member> = (0..90).map(of_size).collect();
-    let config = Config {
-        nodes: 300,
-        classes: vec![Class::default()],
-        max_attempts: 5,
-        ..Config::default()
-    };
-    for seed in 1..=50 {
-        let mut node = Node::seeded(config.clone(), seed);
-        node.list(0.0, ListKind::Cached, &list);
-        let group = Some(Key::of(&seed.to_string()));
+    let mut fleet = Fleet::of(300, 90, 0);
+    for node in 0..300 {
         let stands: Vec<_> = (0..4)
-            .map(|_| {
-                let id = node.next_id();
-                let to = node.ask(
-                    1.0,
-                    Request {
-                        group,
-                        ..Request::new(id, 0, 3.0)
-                    },
-                );
-                let to = to.expect("all have room");
-                node.give(1.0, Event::Standing(id, to));
-                node.give(1.0, Event::Load(id, LOAD));
-                to
-            })
+            .map(|_| fleet.come(1.0, node, node as u64).expect("all have room"))
             .collect();
         assert!(stands.iter().all(|to| *to == stands[0]), "{stands:?}");
     }
