Answer the staff's calls on a second address; take servers out; empty the balancer

Design. crates/service holds it without I/O: call (bounds and meaning; httparse reads the head), outs (what is out, the last call on an id counts), pace (what moves when). src/net/service carries it out. Rejected: hyper, as one call to a connection needs neither its runtime glue nor keep-alive, and its bounds would have to be put around it; a new event for the decision module, as it would have to mean what the list's DRAINING means already: the host masks the list instead, and the module's text does not change. What is out is written to $TMPDIR (temporary file, fsync, rename) before the yes, with a version and a checksum. A server that is put back counts as started when it came back, until the list names a start after it was taken out. crates/inherit owns the descriptor: the one unsafe line.

--- a/src/config.rs
+++ b/src/config.rs
@@ -77,6 +77,10 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where the staff's calls are answered; nowhere if `None`.
+    pub operator: Option<SocketAddr>,
+    /// A listening socket for clients that the platform holds and this process has inherited, by its descriptor.
+    pub accept_fd: Option<i32>,
     /// For random numbers.
     pub seed: u64,
     /// The most file descriptors that it may hold.
@@ -98,6 +102,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    operator: Option<String>,
     seed: Option<String>,
     limits: Option<RawLimits>,
     known: Option<serde_json::Value>,
@@ -141,6 +146,13 @@
             When::Start => var("BALANCER_DISCOVERY").or(raw.discovery),
             When::Reload => raw.discovery.or_else(|| var("BALANCER_DISCOVERY")),
         };
+        let operator = var("BALANCER_OPERATOR").or(raw.operator);
+        let accept_fd = var("BALANCER_ACCEPT_FD").map(|text| {
+            let fd = text.parse::<i32>().ok().filter(|fd| *fd > 2);
+            fd.ok_or(format!(
+                "BALANCER_ACCEPT_FD is '{text}', not the number of a descriptor over 2"
+            ))
+        });
         let seed = need_key(raw.seed, "seed")?;
         let settings = need_key(raw.settings, "settings")?;
         let settings: Settings =
@@ -159,6 +171,10 @@
             name: var("BALANCER_NAME").or(raw.name).unwrap_or_default(),
             listen: address("listen", listen)?,
             discovery: address("discovery", discovery)?,
+            operator: operator
+                .map(|text| address("operator", Some(text)))
+                .transpose()?,
+            accept_fd: accept_fd.transpose()?,
             seed: u64::from_str_radix(&seed, 16)
                 .map_err(|_| format!("key 'seed' is '{seed}', not a hexadecimal number"))?,
             sockets: raw.limits.and_then(|l| l.sockets).unwrap_or(SOCKETS),
@@ -186,6 +202,10 @@
             tracing::warn!(key = "listen", "changes only with a restart");
             self.listen = running.listen;
         }
+        if self.operator != running.operator {
+            tracing::warn!(key = "operator", "changes only with a restart");
+            self.operator = running.operator;
+        }
         Ok(self)
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,6 +8,7 @@
 use net::duties::Shared;
 use net::host::Host;
 use net::room::Room;
+use net::service::{self, listener};
 use net::signals::{Reload, Signals};
 use net::{check, director, drain, req};
 use spanspur::api::ListKind;
@@ -17,13 +18,11 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::{LocalSet, spawn_local};
 use tracing_subscriber::EnvFilter;
 
-/// Connections that wait to be accepted: a crowd may come at once.
-const BACKLOG: u32 = 1024;
 /// Pause after accepting failed: descriptors that ran out come back when connections end.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -36,11 +35,14 @@
     log_as(operator.as_ref().map_or(Format::Text, |o| o.log.format));
     let both = operator.and_then(|operator| Ok((Node::from_env(When::Start)?, operator)));
     let served = both.and_then(|(node, operator)| {
+        // Before anything is opened here: a closed descriptor's number would be given to something of ours.
+        let inherited = node.accept_fd.map(spanspur_inherit::listening).transpose();
+        let inherited = inherited.map_err(|e| format!("BALANCER_ACCEPT_FD: {e}"))?;
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build();
         let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(node, operator, serve))
+        LocalSet::new().block_on(&runtime, run(node, operator, serve, inherited))
     });
     check::log_all();
     match served {
@@ -83,9 +85,21 @@
     }
 }
 
-async fn run(mut node: Node, operator: Operator, serve: Serve) -> Result<(), String> {
+async fn run(
+    mut node: Node,
+    operator: Operator,
+    serve: Serve,
+    inherited: Option<socket2::Socket>,
+) -> Result<(), String> {
     let signals = Signals::new().map_err(|e| format!("no signals: {e}"))?;
-    let listener = listen(&node).map_err(|e| format!("key 'listen': {}: {e}", node.listen))?;
+    let listener = match inherited {
+        Some(socket) => listener::inherited(socket, node.listen)
+            .map_err(|e| format!("BALANCER_ACCEPT_FD: {e}"))?,
+        None => listener::bind(node.listen)
+            .map_err(|e| format!("key 'listen': {}: {e}", node.listen))?,
+    };
+    let calls = node.operator.map(listener::bind).transpose();
+    let calls = calls.map_err(|e| format!("key 'operator': {e}"))?;
     tracing::info!(
         name = node.name,
         address = %node.listen,
@@ -99,6 +113,7 @@
     // One that watches for others has to know the whole list too, as discovery has it.
     let ask_all = known.members.is_empty() || operator.duties.list.is_some();
     let listed = Some(known.revision).filter(|_| !ask_all);
+    service::start(&host, calls);
     host.list(ListKind::Cached, known);
     let shared = Shared::start(&host, &operator).await?;
     let news = shared.as_ref().map(|shared| shared.news());
@@ -113,22 +128,19 @@
     Ok(())
 }
 
-fn listen(node: &Node) -> std::io::Result<TcpListener> {
-    let socket = if node.listen.is_ipv4() {
-        TcpSocket::new_v4()
-    } else {
-        TcpSocket::new_v6()
-    }?;
-    // A restart under the same address must not wait for old connections to time out.
-    socket.set_reuseaddr(true)?;
-    socket.bind(node.listen)?;
-    socket.listen(BACKLOG)
-}
-
 async fn accept(host: Rc<Host>, listener: TcpListener) {
     let room = Rc::new(Room::default());
+    let mut on = host.accepting.subscribe();
     loop {
-        match listener.accept().await {
+        if on.wait_for(|on| *on).await.is_err() {
+            return;
+        }
+        let accepted = tokio::select! {
+            biased;
+            _ = on.changed() => continue,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
             Ok((client, _)) => {
                 match room.enter(host.node().sockets) {
                     Some(place) => drop(spawn_local(req::serve(host.clone(), client, place))),
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -2,6 +2,9 @@
 
 use super::check;
 use super::host::{Host, Order, duration};
+use spanspur::api::RequestId;
+use spanspur_service::pace::Pace;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -19,6 +22,34 @@
 /// How often the rest is looked at.
 const TICK: Duration = Duration::from_millis(20);
 
+/// Moves what stands, each connection once, at a pace.
+pub struct Mover {
+    host: Rc<Host>,
+    pace: Pace,
+    moved: HashSet<RequestId>,
+}
+
+impl Mover {
+    /// Nothing is moved yet.
+    pub fn new(host: Rc<Host>, pace: Pace) -> Self {
+        let moved = HashSet::new();
+        Self { host, pace, moved }
+    }
+
+    /// Moves what is due where the next look comes after `tick`; returns how many stand that were not told.
+    pub fn look(&mut self, tick: Duration) -> usize {
+        let mut standing = self.host.reqs(true);
+        standing.retain(|id| !self.moved.contains(id));
+        let left = standing.len();
+        let count = self.pace.count(self.host.now(), tick.as_secs_f64(), left);
+        for id in standing.into_iter().take(count) {
+            self.moved.insert(id);
+            self.host.order(id, Order::Move);
+        }
+        left - count
+    }
+}
+
 /// Empties the process; returns when it may exit.
 pub async fn run(host: Rc<Host>) {
     let longest_wait = duration(host.node().longest_wait);
@@ -26,38 +57,28 @@
     tracing::info!(standing = host.reqs(true).len(), "told to stop");
     let start = Instant::now();
     let kill = start + longest_wait.min(LONGEST_WAIT) + GRACE;
-    let moves_end = start + ARRIVALS + SPREAD;
-    let mut moved = std::collections::HashSet::new();
+    let from = host.now() + ARRIVALS.as_secs_f64();
+    let until = from + SPREAD.as_secs_f64();
+    let mut mover = Mover::new(host.clone(), Pace { from, until });
+    let mut left = 0;
     while Instant::now() < kill - EXIT_BEFORE {
         sleep(TICK).await;
         let now = Instant::now();
         if now < start + ARRIVALS {
             continue;
         }
-        let mut standing = host.reqs(true);
+        left = mover.look(TICK);
         let waiting = host.reqs(false);
-        if standing.is_empty() && waiting.is_empty() {
+        // One that has not said yet what it wants may take its time, and is owed an answer then.
+        if host.reqs(true).is_empty() && waiting.is_empty() && host.reading.get() == 0 {
             break;
         }
-        standing.retain(|id| !moved.contains(id));
-        // An even pace: the share of what is left that this tick has of the time left.
-        let share = TICK.as_secs_f64() / (moves_end - now).as_secs_f64().max(TICK.as_secs_f64());
-        let count = (standing.len() as f64 * share).ceil() as usize;
-        for id in standing.into_iter().take(count) {
-            moved.insert(id);
-            host.order(id, Order::Move);
-        }
         if now >= kill - ANSWER_BEFORE {
             waiting
                 .into_iter()
                 .for_each(|id| host.order(id, Order::Refuse(0)));
         }
     }
-    let left = host
-        .reqs(true)
-        .iter()
-        .filter(|id| !moved.contains(id))
-        .count();
     if left > 0 {
         check::count("connections that stood at the exit");
     }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -7,12 +7,13 @@
 use spanspur::api::*;
 use spanspur::config::Node;
 use spanspur::list::List;
+use spanspur_service::outs::Outs;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, watch};
 
 /// What a req is to do.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,13 +32,23 @@
 
 struct Inbox {
     orders: mpsc::UnboundedSender<Order>,
-    standing: bool,
+    standing: Option<ServerId>,
+}
+
+/// A listed backend.
+struct Listed {
+    /// As discovery names it.
+    raw: Member,
+    /// As the module knows it.
+    seen: Member,
+    address: SocketAddr,
 }
 
 struct State {
     balancer: Balancer,
     actions: Vec<Action>,
-    addresses: HashMap<ServerId, (MemberState, SocketAddr)>,
+    listed: HashMap<ServerId, Listed>,
+    outs: Outs,
     inboxes: HashMap<RequestId, Inbox>,
     delays: Delays,
     reports: Reports,
@@ -54,6 +65,12 @@
     pub listed: Notify,
     /// The process is told to stop.
     pub leaving: Cell<bool>,
+    /// The staff empties this balancer: the front is told no.
+    pub lameduck: watch::Sender<bool>,
+    /// Clients are accepted.
+    pub accepting: watch::Sender<bool>,
+    /// Clients that have not said yet what they want.
+    pub reading: Cell<usize>,
     node: RefCell<Rc<Node>>,
 }
 
@@ -76,7 +93,8 @@
         let state = State {
             balancer: Balancer::new(node.config.clone(), node.seed),
             actions: Vec::new(),
-            addresses: HashMap::new(),
+            listed: HashMap::new(),
+            outs: Outs::default(),
             inboxes: HashMap::new(),
             delays: Delays::new(&node.config),
             reports: Reports::new(&node.config),
@@ -87,6 +105,9 @@
             watch: Notify::new(),
             listed: Notify::new(),
             leaving: Cell::new(false),
+            lameduck: watch::Sender::new(false),
+            accepting: watch::Sender::new(true),
+            reading: Cell::new(0),
             node: RefCell::new(Rc::new(node)),
         }
     }
@@ -158,49 +179,82 @@
         if let Some(entry) = list.unusable {
             tracing::warn!(entry, "discovery names an address that cannot be used");
         }
+        let now = self.now();
+        let warm_up = self.node().config.warm_up;
         let mut state = self.state.borrow_mut();
-        let addresses = &mut state.addresses;
+        let State { listed, outs, .. } = &mut *state;
         if kind != ListKind::Delta {
-            addresses.clear();
+            listed.clear();
         }
-        for (member, address) in &list.members {
-            match member.state {
-                MemberState::Gone => drop(addresses.remove(&member.id)),
-                state => drop(addresses.insert(member.id, (state, *address))),
+        let mut members = Vec::with_capacity(list.members.len());
+        for (raw, address) in list.members {
+            outs.listed(raw.id.0);
+            let seen = masked(outs, raw, now, warm_up);
+            tracing::debug!(member = ?raw, as_draining = seen.state != raw.state, %address, "listed");
+            members.push(seen);
+            match raw.state {
+                MemberState::Gone => drop(listed.remove(&raw.id)),
+                _ => drop(listed.insert(raw.id, Listed { raw, seen, address })),
             }
-            tracing::debug!(?member, %address, "listed");
         }
-        let members = list.members.into_iter().map(|(member, _)| member);
-        let event = Event::List(kind, members.collect());
+        let event = Event::List(kind, members.into());
         // The module's turn takes the state again.
         drop(state);
         self.event(event);
         self.listed.notify_one();
     }
 
+    /// Which backends the staff has taken out.
+    pub fn outs(&self) -> Outs {
+        self.state.borrow().outs.clone()
+    }
+
+    /// Takes over which are taken out now: the module hears of those for which it makes a difference, as if
+    /// discovery had told.
+    pub fn take_outs(self: &Rc<Self>, outs: &Outs) {
+        let (now, warm_up) = (self.now(), self.node().config.warm_up);
+        let mut state = self.state.borrow_mut();
+        state.outs.merge(outs);
+        let State { listed, outs, .. } = &mut *state;
+        let mut changed = Vec::new();
+        for at in listed.values_mut() {
+            let seen = masked(outs, at.raw, now, warm_up);
+            if (seen.state, seen.started) != (at.seen.state, at.seen.started) {
+                at.seen = seen;
+                changed.push(seen);
+            }
+        }
+        drop(state);
+        if !changed.is_empty() {
+            self.event(Event::List(ListKind::Delta, changed.into()));
+            self.listed.notify_one();
+        }
+    }
+
     /// The address of a listed backend.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
-        self.state.borrow().addresses.get(&server).map(|at| at.1)
+        self.state.borrow().listed.get(&server).map(|at| at.address)
     }
 
     /// All listed backends with their addresses.
     pub fn addresses(&self) -> Vec<(ServerId, SocketAddr)> {
         let state = self.state.borrow();
-        state.addresses.iter().map(|(id, at)| (*id, at.1)).collect()
+        let listed = state.listed.iter();
+        listed.map(|(id, at)| (*id, at.address)).collect()
     }
 
     /// Whether the director still says that this backend takes new work.
     pub fn takes_new(&self, server: ServerId) -> bool {
         let state = self.state.borrow();
         state
-            .addresses
+            .listed
             .get(&server)
-            .is_some_and(|at| at.0 == MemberState::Ready)
+            .is_some_and(|at| at.seen.state == MemberState::Ready)
     }
 
     /// Any backend is known: requests can be decided.
     pub fn ready(&self) -> bool {
-        !self.state.borrow().addresses.is_empty()
+        !self.state.borrow().listed.is_empty()
     }
 
     /// Opens an inbox; `None` if there is a live req with this id.
@@ -217,7 +271,7 @@
             id,
             Inbox {
                 orders,
-                standing: false,
+                standing: None,
             },
         );
         drop(state);
@@ -231,9 +285,9 @@
     }
 
     /// Notes that a req's connection stands.
-    pub fn stands(&self, id: RequestId) {
+    pub fn stands(&self, id: RequestId, server: ServerId) {
         if let Some(inbox) = self.state.borrow_mut().inboxes.get_mut(&id) {
-            inbox.standing = true;
+            inbox.standing = Some(server);
         }
     }
 
@@ -243,7 +297,7 @@
         let of = state
             .inboxes
             .iter()
-            .filter(|(_, inbox)| inbox.standing == standing);
+            .filter(|(_, inbox)| inbox.standing.is_some() == standing);
         of.map(|(id, _)| *id).collect()
     }
 
@@ -290,6 +344,21 @@
     }
 }
 
+/// What the module is told of a backend: one that is taken out drains, whatever its list says.
+fn masked(outs: &Outs, raw: Member, now: Time, warm_up: Time) -> Member {
+    let mask = outs.mask(raw.id.0, raw.started, now, warm_up);
+    let state = match raw.state {
+        MemberState::Ready if mask.out => MemberState::Draining,
+        state => state,
+    };
+    let started = mask.started;
+    Member {
+        state,
+        started,
+        ..raw
+    }
+}
+
 /// A span of the module's as the runtime's; what is not a length of time is none.
 pub fn duration(span: Time) -> Duration {
     Duration::try_from_secs_f64(span.max(0.0)).unwrap_or(Duration::from_secs(4260))
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -12,4 +12,5 @@
 pub mod relay;
 pub mod req;
 pub mod room;
+pub mod service;
 pub mod signals;
--- a/src/net/req.rs
+++ b/src/net/req.rs
@@ -16,8 +16,9 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
-/// A client says what it wants within this time from its coming, however it spreads its words.
-const FIRST_LINE: Duration = Duration::from_secs(2);
+/// A client says what it wants within this time from its coming, however it spreads its words: some take 2 s, and
+/// who says nothing has to be gone after 3 s.
+const FIRST_LINE: Duration = Duration::from_millis(2500);
 /// A front that has asked may ask again within this.
 const FRONT: Duration = Duration::from_secs(10);
 /// The client's wait runs from its sending: the line's way here and the answer's way back come off.
@@ -67,6 +68,22 @@
     }
 }
 
+/// One that has not said yet what it wants: who leaves waits for it.
+struct Reading(Rc<Host>);
+
+impl Reading {
+    fn new(host: &Rc<Host>) -> Self {
+        host.reading.set(host.reading.get() + 1);
+        Self(host.clone())
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.0.reading.set(self.0.reading.get() - 1);
+    }
+}
+
 /// What comes of a first line.
 enum Opened {
     Stands(
@@ -108,7 +125,8 @@
 
 /// The first line that asks for a connection; `None` if the client ends, or says too little in its time. All that
 /// a client sends before its answer has to be one line: who sends more does not speak this protocol.
-async fn first_line(host: &Host, client: &TcpStream) -> Option<Result<Opening, &'static str>> {
+async fn first_line(host: &Rc<Host>, client: &TcpStream) -> Option<Result<Opening, &'static str>> {
+    let mut reading = Some(Reading::new(host));
     let mut lines = Lines::default();
     let mut end = Instant::now() + FIRST_LINE;
     loop {
@@ -123,10 +141,16 @@
             return Some(Opening::parse(&line, &node.classes, node.groups));
         }
         // The front sends clients from the answer on, so it has to wait until a server is known.
-        while !host.ready() {
+        while !host.ready() && !*host.lameduck.borrow() {
             sleep(NOT_READY).await;
         }
-        client.try_write(b"PONG\r\n").ok()?;
+        let answer = match *host.lameduck.borrow() {
+            true => BUSY,
+            false => "PONG\r\n",
+        };
+        client.try_write(answer.as_bytes()).ok()?;
+        // The front is nobody who waits for an answer of ours.
+        reading.take();
         end = Instant::now() + FRONT;
     }
 }
@@ -153,7 +177,7 @@
         };
         tracing::debug!(req = %id, server = %server, group = ?opening.request.group, "is open");
         host.event(Event::Open(opening.request, server));
-        host.stands(id);
+        host.stands(id, server);
         return Opened::Stands(ticket, (id, server, 0), backend, orders);
     }
     let Request {
@@ -207,7 +231,7 @@
             Ok(backend) => {
                 tracing::debug!(req = %id, server = %server, attempt, "stands");
                 host.event(Event::Standing(id, server));
-                host.stands(id);
+                host.stands(id, server);
                 return Opened::Stands(ticket, (id, server, attempt), backend, orders);
             }
             Err(outcome) => {
--- a/src/net/room.rs
+++ b/src/net/room.rs
@@ -32,12 +32,17 @@
 impl Room {
     /// A place for a client that has said nothing yet; `None` if all room is taken by clients that are served.
     pub fn enter(self: &Rc<Self>, sockets: usize) -> Option<Place> {
+        self.enter_of(sockets.saturating_sub(SPARE).max(SERVED))
+    }
+
+    /// A place among so many descriptors.
+    pub fn enter_of(self: &Rc<Self>, limit: usize) -> Option<Place> {
         let mut place = Place {
             room: self.clone(),
             held: 0,
             evict: None,
         };
-        place.grow_to(IDLE, sockets).then(|| {
+        place.grow_to(IDLE, limit).then(|| {
             place.idle();
             place
         })
@@ -48,7 +53,7 @@
     /// From here on the client is served and stays, unless all room is taken by others that do.
     pub fn serve(&mut self, sockets: usize) -> bool {
         self.evict = None;
-        self.grow_to(SERVED, sockets)
+        self.grow_to(SERVED, sockets.saturating_sub(SPARE).max(SERVED))
     }
 
     /// From here on the client may be sent away.
@@ -73,10 +78,9 @@
         }
     }
 
-    fn grow_to(&mut self, wanted: usize, sockets: usize) -> bool {
+    fn grow_to(&mut self, wanted: usize, limit: usize) -> bool {
         let room = &self.room;
         let more = wanted.saturating_sub(self.held);
-        let limit = sockets.saturating_sub(SPARE).max(SERVED);
         if room.held.get() + more > limit {
             // The one that leaves gives its descriptor back a moment later: the spare ones bridge that.
             let mut idle = room.idle.borrow_mut();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! Stories over loopback sockets: one balancer process among scripted peers.
 
 mod peers;
+mod service;
 use peers::*;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -1,8 +1,9 @@
 //! Scripted peers around one balancer process: clients, backends and discovery, each on an ephemeral port.
 
+use command_fds::{CommandFdExt, FdMapping};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -177,10 +178,32 @@
 pub struct Balancer {
     child: Child,
     address: SocketAddr,
-    folder: Folder,
+    /// Where it answers the staff.
+    operator: SocketAddr,
+    folder: Arc<Folder>,
 }
 
-struct Folder(std::path::PathBuf);
+/// What a story and its processes share: the configuration, the temporary folder, the log.
+pub struct Folder(pub std::path::PathBuf);
+
+impl Folder {
+    pub fn new(address: SocketAddr) -> Self {
+        let name = format!("spanspur-{}-{}", std::process::id(), address.port());
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a folder");
+        Self(folder)
+    }
+}
+
+/// Ports that were free a moment ago, on a loopback address of this story's own: nobody else takes them.
+pub fn free_ports() -> [SocketAddr; 2] {
+    static STORIES: AtomicU8 = AtomicU8::new(1);
+    let story = STORIES.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    let own = format!("127.{}.{high}.{low}:0", 64 + story);
+    let free = [(); 2].map(|()| TcpListener::bind(&own).expect("a port"));
+    free.map(|listener| listener.local_addr().expect("bound"))
+}
 
 impl Drop for Folder {
     fn drop(&mut self) {
@@ -198,29 +221,9 @@
 impl Balancer {
     /// Starts one that knows these servers, and waits until it is ready.
     pub fn start(discovery: &Discovery, known: &[String]) -> Self {
-        // A port that was free a moment ago, on a loopback address of this story's own: nobody else takes it.
-        static STORIES: AtomicU8 = AtomicU8::new(1);
-        let story = STORIES.fetch_add(1, Ordering::Relaxed);
-        let [_, _, high, low] = std::process::id().to_be_bytes();
-        let own = format!("127.{}.{high}.{low}:0", 64 + story);
-        let free = TcpListener::bind(&own).and_then(|l| l.local_addr());
-        let address = free.expect("a port");
-        let folder = std::env::temp_dir().join(format!("spanspur-{}-{story}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder");
-        let config = folder.join("config.json");
-        let folder = Folder(folder);
-        write_config(&folder, address, &discovery.address.to_string(), known);
-        let child = Command::new(env!("CARGO_BIN_EXE_spanspur"))
-            .env("BALANCER_CONFIG", &config)
-            .env("BALANCER_DISCOVERY", discovery.address.to_string())
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the program starts");
-        let balancer = Self {
-            child,
-            address,
-            folder,
-        };
+        let [address, operator] = free_ports();
+        let folder = Arc::new(Folder::new(address));
+        let balancer = Self::begin(folder, address, operator, None, discovery, known);
         wait_until(|| TcpStream::connect(address).is_ok());
         let mut front = balancer.connect();
         front.say("PING\r\n");
@@ -228,6 +231,79 @@
         balancer
     }
 
+    /// Starts one, and does not wait; with `held`, clients come to that socket, as descriptor 4.
+    pub fn begin(
+        folder: Arc<Folder>,
+        address: SocketAddr,
+        operator: SocketAddr,
+        held: Option<&TcpListener>,
+        discovery: &Discovery,
+        known: &[String],
+    ) -> Self {
+        write_config(&folder, address, &discovery.address.to_string(), known);
+        let log = folder.0.join("log");
+        let log = std::fs::File::options().create(true).append(true).open(log);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_spanspur"));
+        command
+            .env("BALANCER_CONFIG", folder.0.join("config.json"))
+            .env("BALANCER_DISCOVERY", discovery.address.to_string())
+            .env("BALANCER_OPERATOR", operator.to_string())
+            .env("TMPDIR", &folder.0)
+            .stderr(log.expect("a log"));
+        if let Some(held) = held {
+            let parent_fd = held.try_clone().expect("a socket").into();
+            let mapping = FdMapping {
+                parent_fd,
+                child_fd: 4,
+            };
+            command.fd_mappings(vec![mapping]).expect("one mapping");
+            command.env("BALANCER_ACCEPT_FD", "4");
+        }
+        let child = command.spawn().expect("the program starts");
+        Self {
+            child,
+            address,
+            operator,
+            folder,
+        }
+    }
+
+    /// Calls the staff's address: the status, and what was said.
+    pub fn call(&self, call: &str, body: &str) -> (u16, String) {
+        let method = if call == "/_ready" { "GET" } else { "POST" };
+        let length = body.len();
+        self.call_raw(&format!(
+            "{method} {call} HTTP/1.1\r\nHost: x\r\nContent-Length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    pub fn call_raw(&self, text: &str) -> (u16, String) {
+        let mut peer = self.caller();
+        peer.say(text);
+        let answer = rest(peer);
+        let status = answer.get(9..12).and_then(|code| code.parse().ok());
+        (status.unwrap_or(0), answer)
+    }
+
+    /// A connection to the staff's address.
+    pub fn caller(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.operator).expect("accepted"))
+    }
+
+    /// What its log holds, with that of others of the same folder.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.0.join("log")).unwrap_or_default()
+    }
+
+    pub fn folder(&self) -> &Arc<Folder> {
+        &self.folder
+    }
+
+    pub fn kill(mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     pub fn connect(&self) -> Peer {
         Peer::new(TcpStream::connect(self.address).expect("accepted"))
     }
@@ -275,7 +351,7 @@
     }
 }
 
-fn write_config(folder: &Folder, listen: SocketAddr, discovery: &str, known: &[String]) {
+pub fn write_config(folder: &Folder, listen: SocketAddr, discovery: &str, known: &[String]) {
     let settings = r#"{"balancers":1,"zone":"a","membershipMode":"on_request",
         "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
         "domain":{"groups":true,"messageAim":[0.25],"tellsDelay":true},
--- /dev/null
+++ b/tests/sockets/service.rs
@@ -0,0 +1,204 @@
+//! Stories of day-to-day service: the staff's calls, servers taken out, a balancer that is emptied.
+
+use crate::peers::*;
+use std::io::Write;
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+const DETACH: &str = "/_stream-servers/detach";
+const ATTACH: &str = "/_stream-servers/attach";
+
+#[test]
+fn a_server_taken_out_gets_nothing_whatever_the_list_says_until_one_call_back() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let (mut client, mut server) = balancer.standing(0xd1, &backend);
+    assert_eq!(balancer.call(DETACH, "s-9").0, 404);
+    assert_eq!(balancer.call(ATTACH, "s-9").0, 404);
+    // An attempt that is connecting when the call comes, or that waits, is not sent on after it.
+    assert_eq!(balancer.call(DETACH, "s-1\n").0, 200);
+    assert_eq!(balancer.call(DETACH, "s-1").0, 200);
+    let refused = |id| {
+        assert!(balancer.open(id, 400).line().starts_with("BUSY"));
+        assert!(backend.is_left_alone(Duration::from_millis(50)));
+    };
+    refused(0xd2);
+    // The list goes on naming it, drops it, and names it again.
+    discovery.tell(2, true, &[backend.entry("SERVING")]);
+    discovery.wait_for_calls(2);
+    refused(0xd3);
+    discovery.tell(3, true, &[]);
+    discovery.tell(4, true, &[backend.entry("SERVING")]);
+    discovery.wait_for_calls(4);
+    refused(0xd4);
+    // What stands there may go on until the server ends it.
+    client.say("M 1\r\n");
+    assert_eq!(server.line(), "M 1\r\n");
+    assert_eq!(balancer.call(ATTACH, "s-1").0, 200);
+    assert_eq!(balancer.call(ATTACH, "s-1").0, 200);
+    balancer.standing(0xd5, &backend);
+}
+
+#[test]
+fn what_is_out_outlives_a_kill_and_a_torn_file_is_set_aside() {
+    let (discovery, one, two) = (Discovery::new(), Backend::new("s-1"), Backend::new("s-2"));
+    let known = [one.entry("SERVING"), two.entry("SERVING")];
+    let [address, operator] = free_ports();
+    let folder = std::sync::Arc::new(Folder::new(address));
+    let start = || {
+        let balancer = Balancer::begin(folder.clone(), address, operator, None, &discovery, &known);
+        wait_until(|| std::net::TcpStream::connect(operator).is_ok());
+        assert_eq!(balancer.call("/_ready", "").0, 200);
+        balancer
+    };
+    let balancer = start();
+    assert_eq!(balancer.call(DETACH, "s-1").0, 200);
+    balancer.kill();
+    let balancer = start();
+    for id in 0xe0..0xe8 {
+        let (_client, mut server) = (balancer.open(id, 2000), two.accept().0);
+        server.say("UP r1\r\n");
+    }
+    assert!(one.is_left_alone(Duration::from_millis(50)));
+    balancer.kill();
+    let file = folder.0.join("spanspur-n0.outs");
+    let whole = std::fs::read(&file).expect("the file");
+    std::fs::write(&file, &whole[..whole.len() / 2]).expect("written");
+    let balancer = start();
+    assert!(
+        balancer.log().contains("is set aside"),
+        "{}",
+        balancer.log()
+    );
+    assert!(folder.0.join("spanspur-n0.outs.bad").exists());
+    // It starts, and what it held is lost: the staff is told by the log.
+    assert_eq!(balancer.call(DETACH, "s-2").0, 200);
+    let (_client, mut server) = (balancer.open(0xe9, 2000), one.accept().0);
+    server.say("UP r1\r\n");
+}
+
+#[test]
+fn calls_are_answered_in_a_crowd_and_among_callers_that_finish_nothing() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let crowd: Vec<Peer> = (0..300).map(|_| balancer.connect()).collect();
+    let stalled: Vec<Peer> = (0..20)
+        .map(|n| {
+            let mut caller = balancer.caller();
+            caller.say(["", "POST /_lameduck/on HTTP/1.1\r\n"][n % 2]);
+            caller
+        })
+        .collect();
+    let start = Instant::now();
+    assert_eq!(balancer.call("/_ready", "").0, 200);
+    assert_eq!(balancer.call(DETACH, "s-1").0, 200);
+    assert_eq!(balancer.call(ATTACH, "s-1").0, 200);
+    assert!(
+        start.elapsed() < Duration::from_secs(2),
+        "{:?}",
+        start.elapsed()
+    );
+    drop((crowd, stalled));
+    let bad = [
+        ("GET / HTTP/1.1\r\n\r\n", 404),
+        ("GET /_lameduck/on HTTP/1.1\r\n\r\n", 405),
+        ("POST /_stream-servers/detach HTTP/1.1\r\n\r\n", 411),
+        ("nonsense\r\n\r\n", 400),
+    ];
+    for (text, status) in bad {
+        assert_eq!(balancer.call_raw(text).0, status, "{text}");
+    }
+    let mut front = balancer.connect();
+    front.say("PING\r\n");
+    assert_eq!(front.line(), "PONG\r\n");
+}
+
+#[test]
+fn an_emptied_balancer_says_no_moves_all_in_time_and_serves_again() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let (mut client, _server) = balancer.standing(0xf1, &backend);
+    // The front has asked before, on the same connection.
+    let mut front = balancer.connect();
+    let ask = |front: &mut Peer| {
+        front.say("PING\r\n");
+        front.line()
+    };
+    assert_eq!(ask(&mut front), "PONG\r\n");
+    let told = Instant::now();
+    assert_eq!(balancer.call("/_lameduck/on", "").0, 200);
+    assert_eq!(balancer.call("/_lameduck/on", "").0, 200);
+    assert_ne!(ask(&mut front), "PONG\r\n");
+    assert_eq!(balancer.call("/_ready", "").0, 503);
+    // Who comes all the same is served, and moved.
+    let (mut late, _late_server) = balancer.standing(0xf2, &backend);
+    for client in [&mut client, &mut late] {
+        assert_eq!(
+            (client.line(), client.line()),
+            ("MOVE\r\n".into(), String::new())
+        );
+    }
+    assert!(
+        told.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        told.elapsed()
+    );
+    assert_eq!(balancer.call("/_lameduck/off", "").0, 200);
+    assert_eq!(ask(&mut front), "PONG\r\n");
+    assert_eq!(balancer.call("/_ready", "").0, 200);
+    // On, off and on again; then the process is told to stop as well.
+    let (mut client, _server) = balancer.standing(0xf3, &backend);
+    for call in ["/_lameduck/on", "/_lameduck/off", "/_lameduck/on"] {
+        assert_eq!(balancer.call(call, "").0, 200);
+    }
+    balancer.signal("-TERM");
+    assert_eq!(client.line(), "MOVE\r\n");
+    drop((client, late, front));
+    assert_eq!(balancer.exit(), Some(0));
+}
+
+#[test]
+fn a_descriptor_that_is_no_listening_socket_is_named() {
+    let (discovery, [address, operator]) = (Discovery::new(), free_ports());
+    let folder = std::sync::Arc::new(Folder::new(address));
+    let held = TcpListener::bind(address).expect("free");
+    let connected = std::net::TcpStream::connect(address).expect("accepted");
+    // A socket that is connected goes where one that listens should; the file and the closed number come without.
+    let as_listener = TcpListener::from(std::os::fd::OwnedFd::from(connected));
+    let wrong = Balancer::begin(
+        folder.clone(),
+        address,
+        operator,
+        Some(&as_listener),
+        &discovery,
+        &[],
+    );
+    let log = wrong.folder().0.join("log");
+    assert_eq!(wrong.exit(), Some(1));
+    let log = std::fs::read_to_string(log).expect("a log");
+    assert!(
+        log.contains("BALANCER_ACCEPT_FD: descriptor 4 is a socket that does not listen"),
+        "{log}"
+    );
+    drop(held);
+}
+
+#[test]
+fn clients_come_to_the_socket_that_the_platform_holds() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let [address, operator] = free_ports();
+    let held = TcpListener::bind(address).expect("free");
+    let folder = std::sync::Arc::new(Folder::new(address));
+    let entry = backend.entry("SERVING");
+    let balancer = Balancer::begin(folder, address, operator, Some(&held), &discovery, &[entry]);
+    wait_until(|| std::net::TcpStream::connect(operator).is_ok());
+    assert_eq!(balancer.call("/_ready", "").0, 200);
+    let (mut client, _server) = balancer.standing(0x11, &backend);
+    balancer.signal("-TERM");
+    assert_eq!(client.line(), "MOVE\r\n");
+    drop(client);
+    assert_eq!(balancer.exit(), Some(0));
+    // The socket is the platform's: it goes on listening.
+    let mut waiting = std::net::TcpStream::connect(address).expect("listens");
+    waiting.write_all(b"PING\r\n").expect("queued");
+}
