Replace the process under load: the next one takes over state and open connections

The two meet at a Unix socket under $TMPDIR that the older one holds (crates/handover: frames, stages and link; the driver is src/net/service/handover.rs). The new one takes over the list and its version, what the module has learnt (warmth, failures, parts of fall budgets), what is out, whether the balancer is emptied; says Ready, accepts, and answers /_ready. The old one stops accepting then; cold servers count as draining for it, so no budget is used twice. At SIGTERM it passes each standing connection, and each client that is still writing its first line, as open descriptors; every one stays its own until the new one has acknowledged it, so that a new one that dies costs a MOVE at most. News of the list, calls and the descriptors held go over while both live.

--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,6 @@
 //! The interface of the decision module: settings, events in, actions out. Nothing here decides anything.
 
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -7,7 +8,7 @@
 pub type Time = f64;
 
 /// A server, named alike at every node: the XXH3 hash of its address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerId(pub u64);
 
 impl std::fmt::Display for ServerId {
@@ -24,7 +25,7 @@
 }
 
 /// A key to place by (a group's or a client's): the XXH3 hash of its text.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Key(pub u64);
 
 impl Key {
@@ -35,7 +36,7 @@
 }
 
 /// One try of a client; never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestId(pub u64);
 
 impl std::fmt::Display for RequestId {
@@ -160,7 +161,7 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
     /// Takes new work.
     Ready,
@@ -171,7 +172,7 @@
 }
 
 /// An entry of the list of servers.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Member {
     /// The server.
     pub id: ServerId,
@@ -199,7 +200,7 @@
 }
 
 /// A client's request for a connection, or one that is open already.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Request {
     /// Its id.
     pub id: RequestId,
@@ -237,7 +238,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Served.
     Ok,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,6 +4,7 @@
 //! highest weighted rendezvous score, skipping down the key's own ranking past busy and cold servers.
 
 use crate::api::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// An attempt's time-out in aims: past its aim a connection earns nothing for set-up, so try elsewhere soon.
@@ -64,10 +65,12 @@
 const MAX_GAP: u32 = 7;
 
 /// A server as this node knows it.
+#[derive(Deserialize, Serialize)]
 struct Server {
     /// Its entry in the list.
     at: Member,
     /// Requests of this node that are out or stand there; a gone server is kept while there are any.
+    #[serde(skip)]
     held: BTreeSet<RequestId>,
     /// Time of a message there over the busy threshold: 1 is just at it.
     level: f64,
@@ -77,6 +80,7 @@
     /// The share of errors among its answers of late.
     errors: f64,
     /// The load of the requests of this node that it holds.
+    #[serde(skip)]
     load: f64,
     /// When it last drowned or failed: what comes back from that is let in slowly too.
     sick: Time,
@@ -107,13 +111,15 @@
     errors: u32,
 }
 
-/// The decisions of one node.
-#[derive(Default)]
+/// The decisions of one node. What is read back by the process that takes its place goes on with new settings.
+#[derive(Default, Deserialize, Serialize)]
 pub struct Balancer {
+    #[serde(skip)]
     config: Config,
     random: u64,
     /// Sorted by id, so that no decision depends on the order of a list.
     servers: Vec<Server>,
+    #[serde(skip)]
     live: BTreeMap<RequestId, Live>,
     /// How often waiting requests are looked at; time of a message from which its server is busy.
     wake: Time,
@@ -128,8 +134,10 @@
     /// First tries a second, and when that was counted.
     rate: (f64, Time),
     /// Connections of this node that stand.
+    #[serde(skip)]
     standing: u32,
     /// Requests that wait for room, in order of arrival.
+    #[serde(skip)]
     waiting: Vec<RequestId>,
     /// Failures of late, halved by each connection that stands.
     strain: u32,
@@ -189,6 +197,7 @@
             out.push(Action::Watch);
         }
         match event {
+            Event::Request(known) | Event::Open(known, _) if self.live.contains_key(&known.id) => {}
             Event::List(kind, entries) => self.members(now, *kind, entries),
             Event::ListFailed => self.ask_again(out),
             Event::Request(request) => self.accept(now, request, out),
@@ -229,10 +238,9 @@
 
     fn members(&mut self, now: Time, kind: ListKind, entries: &[Member]) {
         self.asks_failed = 0;
-        if kind != ListKind::Delta {
-            self.servers
-                .iter_mut()
-                .for_each(|s| s.at.state = MemberState::Gone);
+        let forgotten = |_: &&mut Server| kind != ListKind::Delta;
+        for server in self.servers.iter_mut().filter(forgotten) {
+            server.at.state = MemberState::Gone;
         }
         for entry in entries {
             let usable = entry.weight.is_finite() && entry.weight > 0.0;
@@ -273,9 +281,6 @@
     }
 
     fn accept(&mut self, now: Time, request: &Request, out: &mut Vec<Action>) {
-        if self.live.contains_key(&request.id) {
-            return;
-        }
         if !request.returned {
             let (rate, since) = self.rate;
             let decayed = rate * libm::exp((since - now) / RATE_SPAN);
@@ -287,9 +292,6 @@
     }
 
     fn open(&mut self, now: Time, request: &Request, server: ServerId) {
-        if self.live.contains_key(&request.id) {
-            return;
-        }
         let live = Live::new(now, request, Phase::Standing(server), self.mean_load());
         let Some(at) = self.find(server) else { return };
         at.held.insert(request.id);
@@ -340,11 +342,9 @@
         // The best clear server, else the least busy one.
         let mut best: Option<(f64, f64, ServerId, f64, f64)> = None;
         for server in &self.servers {
-            let listed = match server.at.state {
-                MemberState::Ready => true,
-                MemberState::Draining => request.mid_flow && live.attempts == 0,
-                MemberState::Gone => false,
-            };
+            let flows =
+                request.mid_flow && live.attempts == 0 && server.at.state == MemberState::Draining;
+            let listed = server.at.state == MemberState::Ready || flows;
             let in_scope = match scope {
                 Some((Scope::Zone, zone, _)) => server.at.zone == zone,
                 Some((Scope::Cell, _, cell)) => server.at.cell == cell,
--- a/src/list.rs
+++ b/src/list.rs
@@ -2,11 +2,11 @@
 
 use crate::api::*;
 use crate::config::zone_of;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// A list, or the changes to one.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub struct List {
     /// Its version.
     pub revision: u64,
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,8 +7,7 @@
 use cli::{Cli, Serve};
 use net::duties::Shared;
 use net::host::Host;
-use net::room::Room;
-use net::service::{self, listener};
+use net::service::{Service, listener};
 use net::signals::{Reload, Signals};
 use net::{check, director, drain, req};
 use spanspur::api::ListKind;
@@ -113,23 +112,29 @@
     // One that watches for others has to know the whole list too, as discovery has it.
     let ask_all = known.members.is_empty() || operator.duties.list.is_some();
     let listed = Some(known.revision).filter(|_| !ask_all);
-    service::start(&host, calls);
-    host.list(ListKind::Cached, known);
+    let service = Service::start(&host, calls).await;
+    let listed = match service.resumed() {
+        Some(revision) => revision,
+        None => {
+            host.list(ListKind::Cached, known);
+            listed
+        }
+    };
     let shared = Shared::start(&host, &operator).await?;
     let news = shared.as_ref().map(|shared| shared.news());
     spawn_local(director::run(host.clone(), watched, listed, news));
     spawn_local(accept(host.clone(), listener));
+    service.takes_clients(&host).await;
     let reload = Reload::new(host.clone(), discovery, serve, operator, shared.clone());
     signals.serve(reload).await;
     if let Some(shared) = shared {
         shared.leave();
     }
-    drain::run(host).await;
+    drain::run(host, &service).await;
     Ok(())
 }
 
 async fn accept(host: Rc<Host>, listener: TcpListener) {
-    let room = Rc::new(Room::default());
     let mut on = host.accepting.subscribe();
     loop {
         if on.wait_for(|on| *on).await.is_err() {
@@ -142,8 +147,11 @@
         };
         match accepted {
             Ok((client, _)) => {
-                match room.enter(host.node().sockets) {
-                    Some(place) => drop(spawn_local(req::serve(host.clone(), client, place))),
+                match host.room.enter(host.sockets()) {
+                    Some(place) => {
+                        let reader = req::Reader::new(&host);
+                        drop(spawn_local(req::serve(host.clone(), client, place, reader)));
+                    }
                     None => req::turn_away(&client),
                 }
                 // In a crowd, those that give way for the next have to be gone before it is accepted.
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -3,6 +3,7 @@
 use super::duties::ListNews;
 use super::host::Host;
 use super::http::{Connection, Response};
+use super::service::handover;
 use spanspur::api::{Event, ListKind};
 use spanspur::list::List;
 use std::io;
@@ -117,6 +118,7 @@
         if let Some(news) = news {
             news.watched(&list);
         }
+        host.tell(|| handover::news(&list));
         host.list(kind, list);
         sleep(PAUSE).await;
     }
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -2,6 +2,7 @@
 
 use super::check;
 use super::host::{Host, Order, duration};
+use super::service::Service;
 use spanspur::api::RequestId;
 use spanspur_service::pace::Pace;
 use std::collections::HashSet;
@@ -51,9 +52,10 @@
 }
 
 /// Empties the process; returns when it may exit.
-pub async fn run(host: Rc<Host>) {
+pub async fn run(host: Rc<Host>, service: &Service) {
     let longest_wait = duration(host.node().longest_wait);
     host.leaving.set(true);
+    service.leave();
     tracing::info!(standing = host.reqs(true).len(), "told to stop");
     let start = Instant::now();
     let kill = start + longest_wait.min(LONGEST_WAIT) + GRACE;
@@ -61,13 +63,22 @@
     let until = from + SPREAD.as_secs_f64();
     let mut mover = Mover::new(host.clone(), Pace { from, until });
     let mut left = 0;
+    let mut offered = HashSet::new();
     while Instant::now() < kill - EXIT_BEFORE {
         sleep(TICK).await;
         let now = Instant::now();
-        if now < start + ARRIVALS {
+        if host.giving.borrow().is_some() {
+            // Another process goes on with what stands, and nobody arrives here any more.
+            for id in host.reqs(true) {
+                if offered.insert(id) {
+                    host.order(id, Order::Give);
+                }
+            }
+        } else if now < start + ARRIVALS {
             continue;
+        } else {
+            left = mover.look(TICK);
         }
-        left = mover.look(TICK);
         let waiting = host.reqs(false);
         // One that has not said yet what it wants may take its time, and is owed an answer then.
         if host.reqs(true).is_empty() && waiting.is_empty() && host.reading.get() == 0 {
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -3,10 +3,13 @@
 
 use super::check;
 use super::delay::{Delays, Report, Reports};
+use super::room::Room;
+use super::service::handover::{Giving, Known};
 use spanspur::Balancer;
 use spanspur::api::*;
 use spanspur::config::Node;
 use spanspur::list::List;
+use spanspur_handover::frame::Frame;
 use spanspur_service::outs::Outs;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -28,6 +31,8 @@
     Cancel(u32),
     /// End the standing connection politely.
     Move,
+    /// Give it to the process that takes this one's place.
+    Give,
 }
 
 struct Inbox {
@@ -67,10 +72,24 @@
     pub leaving: Cell<bool>,
     /// The staff empties this balancer: the front is told no.
     pub lameduck: watch::Sender<bool>,
+    /// It was this process that was told so: one that takes over an emptied balancer is ready all the same.
+    pub told_lameduck: Cell<bool>,
     /// Clients are accepted.
     pub accepting: watch::Sender<bool>,
     /// Clients that have not said yet what they want.
     pub reading: Cell<usize>,
+    /// The descriptors that clients hold here.
+    pub room: Rc<Room>,
+    /// Those of another process of this balancer.
+    pub others: Cell<usize>,
+    /// Another process takes the clients: what cold servers may be sent is its part alone.
+    pub handed: Cell<bool>,
+    /// Who takes over what stands here, once this process leaves.
+    pub giving: watch::Sender<Option<Rc<Giving>>>,
+    /// Other processes of this balancer that hear this one's news.
+    links: RefCell<Vec<mpsc::Sender<Frame>>>,
+    /// The version of the list.
+    revision: Cell<u64>,
     node: RefCell<Rc<Node>>,
 }
 
@@ -106,8 +125,15 @@
             listed: Notify::new(),
             leaving: Cell::new(false),
             lameduck: watch::Sender::new(false),
+            told_lameduck: Cell::new(false),
             accepting: watch::Sender::new(true),
             reading: Cell::new(0),
+            room: Rc::default(),
+            others: Cell::new(0),
+            handed: Cell::new(false),
+            giving: watch::Sender::new(None),
+            links: RefCell::default(),
+            revision: Cell::new(0),
             node: RefCell::new(Rc::new(node)),
         }
     }
@@ -182,6 +208,7 @@
         let now = self.now();
         let warm_up = self.node().config.warm_up;
         let mut state = self.state.borrow_mut();
+        self.revision.set(list.revision);
         let State { listed, outs, .. } = &mut *state;
         if kind != ListKind::Delta {
             listed.clear();
@@ -189,7 +216,7 @@
         let mut members = Vec::with_capacity(list.members.len());
         for (raw, address) in list.members {
             outs.listed(raw.id.0);
-            let seen = masked(outs, raw, now, warm_up);
+            let seen = masked(outs, raw, now, warm_up, self.handed.get());
             tracing::debug!(member = ?raw, as_draining = seen.state != raw.state, %address, "listed");
             members.push(seen);
             match raw.state {
@@ -218,7 +245,7 @@
         let State { listed, outs, .. } = &mut *state;
         let mut changed = Vec::new();
         for at in listed.values_mut() {
-            let seen = masked(outs, at.raw, now, warm_up);
+            let seen = masked(outs, at.raw, now, warm_up, self.handed.get());
             if (seen.state, seen.started) != (at.seen.state, at.seen.started) {
                 at.seen = seen;
                 changed.push(seen);
@@ -231,6 +258,53 @@
         }
     }
 
+    /// Goes on from what another process of this balancer knows.
+    pub fn resume(self: &Rc<Self>, known: Known) {
+        match postcard::from_bytes(&known.module) {
+            Ok(balancer) => self.state.borrow_mut().balancer = balancer,
+            Err(e) => {
+                tracing::warn!(error = %e, "what the process before has learnt cannot be read")
+            }
+        }
+        self.event(Event::Settings(self.node().config.clone()));
+        self.list(ListKind::Full, known.list());
+    }
+
+    /// What another process of this balancer needs to go on from here.
+    pub fn known(&self) -> Known {
+        let state = self.state.borrow();
+        let members = state.listed.values().map(|at| (at.raw, at.address));
+        Known {
+            discovery: self.node().discovery,
+            revision: self.revision.get(),
+            members: members.collect(),
+            module: postcard::to_stdvec(&state.balancer).unwrap_or_default(),
+            outs: state.outs.write(),
+            lameduck: *self.lameduck.borrow(),
+        }
+    }
+
+    /// The version of the list as it is known here.
+    pub fn revision(&self) -> u64 {
+        self.revision.get()
+    }
+
+    /// The descriptors that this process may hold.
+    pub fn sockets(&self) -> usize {
+        self.node().sockets.saturating_sub(self.others.get())
+    }
+
+    /// From here on news go into this queue too.
+    pub fn link(&self, news: mpsc::Sender<Frame>) {
+        self.links.borrow_mut().push(news);
+    }
+
+    /// Tells other processes of this balancer. One that does not keep up hears nothing any more.
+    pub fn tell(&self, frame: impl Fn() -> Frame) {
+        let mut links = self.links.borrow_mut();
+        links.retain(|link| link.try_send(frame()).is_ok());
+    }
+
     /// The address of a listed backend.
     pub fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.state.borrow().listed.get(&server).map(|at| at.address)
@@ -345,10 +419,12 @@
 }
 
 /// What the module is told of a backend: one that is taken out drains, whatever its list says.
-fn masked(outs: &Outs, raw: Member, now: Time, warm_up: Time) -> Member {
+fn masked(outs: &Outs, raw: Member, now: Time, warm_up: Time, handed: bool) -> Member {
     let mask = outs.mask(raw.id.0, raw.started, now, warm_up);
     let state = match raw.state {
         MemberState::Ready if mask.out => MemberState::Draining,
+        // Two processes that both use a cold server's budget use it twice.
+        MemberState::Ready if handed && mask.started > now - warm_up => MemberState::Draining,
         state => state,
     };
     let started = mask.started;
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -16,6 +16,12 @@
     buf: Vec<u8>,
 }
 
+impl From<Vec<u8>> for Lines {
+    fn from(buf: Vec<u8>) -> Self {
+        Self { buf }
+    }
+}
+
 impl Lines {
     /// Reads more. `Ok(false)` is the end of the stream. Safe to drop halfway.
     pub async fn fill(&mut self, stream: &TcpStream) -> io::Result<bool> {
@@ -56,6 +62,11 @@
         }
     }
 
+    /// What has been read and not been taken yet.
+    pub fn read(&self) -> Vec<u8> {
+        self.buf.clone()
+    }
+
     /// Nothing came after the lines taken.
     pub fn is_empty(&self) -> bool {
         self.buf.is_empty()
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -3,13 +3,16 @@
 
 use super::check;
 use super::fetch::Backend;
-use super::host::{Host, Order};
+use super::host::{Host, Order, duration};
 use super::line::{MAX_LINE, Said};
+use super::service::handover::Handed;
+use serde::{Deserialize, Serialize};
 use socket2::SockRef;
-use spanspur::api::{Ended, Event, Outcome, RequestId, ServerId};
+use spanspur::api::{Ended, Event, Outcome, Request, RequestId, ServerId};
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::Shutdown;
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -141,9 +144,45 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// A standing connection, as another process of this balancer can go on with it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Stands {
+    /// What the client asked for.
+    pub request: Request,
+    /// Where it stands.
+    pub server: ServerId,
+    attempt: u32,
+    /// Bytes read and not written, up to the backend and down to the client.
+    up: Vec<u8>,
+    down: Vec<u8>,
+    /// How many seconds ago each line was sent that is not answered yet, and the backend was heard.
+    asked: Vec<f64>,
+    heard: f64,
+    pending_asks: usize,
+    reported: bool,
+}
+
+impl Stands {
+    /// One that stands since now.
+    pub fn new(request: Request, server: ServerId, attempt: u32) -> Self {
+        Self {
+            request,
+            server,
+            attempt,
+            up: Vec::new(),
+            down: Vec::new(),
+            asked: Vec::new(),
+            heard: 0.0,
+            pending_asks: 0,
+            reported: false,
+        }
+    }
+}
+
 /// One standing connection.
 struct Relay {
     host: Rc<Host>,
+    request: Request,
     id: RequestId,
     server: ServerId,
     attempt: u32,
@@ -164,30 +203,43 @@
 /// Passes lines between a client and its backend until the connection is over.
 pub async fn relay(
     host: Rc<Host>,
-    (id, server, attempt): (RequestId, ServerId, u32),
+    mut stands: Stands,
     client: TcpStream,
     backend: Backend,
-    mut orders: UnboundedReceiver<Order>,
+    orders: UnboundedReceiver<Order>,
 ) {
-    let now = Instant::now();
-    let mut relay = Relay {
-        host,
-        id,
-        server,
-        attempt,
-        asked: VecDeque::new(),
-        pending_asks: 0,
-        heard: now,
-        last_word: None,
-        told: false,
-        reported: false,
-    };
-    let mut up = Flow::new(Vec::new());
-    let mut down = Flow::new([backend.answer.as_bytes(), b"\r\n", &backend.rest].concat());
-    let backend = backend.stream;
+    stands.down = [backend.answer.as_bytes(), b"\r\n", &backend.rest].concat();
+    let mut relay = Relay::new(host, &stands);
+    let (up, mut down) = (Flow::new(Vec::new()), Flow::new(stands.down));
     // The first line is the answer, not a reply to a line.
     let lines = down.fresh();
     relay.backend_said(&down.buf, &lines, 1);
+    pass(relay, up, down, client, backend.stream, orders).await;
+}
+
+/// Goes on with a connection that stood at another process.
+pub async fn resume(
+    host: Rc<Host>,
+    stands: Stands,
+    client: TcpStream,
+    backend: TcpStream,
+    orders: UnboundedReceiver<Order>,
+) {
+    let relay = Relay::new(host, &stands);
+    let (mut up, mut down) = (Flow::new(stands.up), Flow::new(stands.down));
+    // The other process has heard these lines.
+    drop((up.fresh(), down.fresh()));
+    pass(relay, up, down, client, backend, orders).await;
+}
+
+async fn pass(
+    mut relay: Relay,
+    mut up: Flow,
+    mut down: Flow,
+    client: TcpStream,
+    backend: TcpStream,
+    mut orders: UnboundedReceiver<Order>,
+) {
     // The end of one side; from then on the other has its time to end too.
     let mut linger: Option<Instant> = None;
     let mut up_dead = false;
@@ -203,6 +255,13 @@
                 }
                 // The module may have asked to move what has just ended.
                 Some(Order::Move) => {}
+                Some(Order::Give) => {
+                    // What is about to end, ends here.
+                    let whole = linger.is_none() && !up.ended && !down.ended;
+                    if whole && relay.given(&up, &down, &client, &backend).await {
+                        return relay.gone();
+                    }
+                }
                 Some(order) => {
                     check::holds(false, "a standing connection gets no order but to move");
                     tracing::warn!(?order, "for a standing connection");
@@ -315,6 +374,46 @@
 }
 
 impl Relay {
+    fn new(host: Rc<Host>, stands: &Stands) -> Self {
+        let now = Instant::now();
+        let ago = |age: &f64| now.checked_sub(duration(*age)).unwrap_or(now);
+        Self {
+            host,
+            request: stands.request,
+            id: stands.request.id,
+            server: stands.server,
+            attempt: stands.attempt,
+            asked: stands.asked.iter().take(MAX_ASKED).map(ago).collect(),
+            pending_asks: stands.pending_asks,
+            heard: ago(&stands.heard),
+            last_word: None,
+            told: false,
+            reported: stands.reported,
+        }
+    }
+
+    /// Gives the connection to the process that takes this one's place: whether that one has it now.
+    async fn given(&self, up: &Flow, down: &Flow, client: &TcpStream, backend: &TcpStream) -> bool {
+        let giving = self.host.giving.borrow().clone();
+        let Some(giving) = giving.filter(|_| !self.told && self.last_word.is_none()) else {
+            return false;
+        };
+        let age = |at: &Instant| at.elapsed().as_secs_f64();
+        let stands = Stands {
+            request: self.request,
+            server: self.server,
+            attempt: self.attempt,
+            up: up.buf.clone(),
+            down: down.buf.clone(),
+            asked: self.asked.iter().map(age).collect(),
+            heard: age(&self.heard),
+            pending_asks: self.pending_asks,
+            reported: self.reported,
+        };
+        let beside = [client.as_fd(), backend.as_fd()];
+        giving.give(Handed::Standing(stands), &beside).await
+    }
+
     /// Lines of the backend, which end at `ends` in the buffer; the first `skip` are not part of the talk.
     fn backend_said(&mut self, buf: &[u8], ends: &[usize], skip: usize) {
         self.heard = Instant::now();
--- a/src/net/req.rs
+++ b/src/net/req.rs
@@ -4,11 +4,13 @@
 use super::fetch::{Backend, Kind, fetch};
 use super::host::{Host, Order, Ticket};
 use super::line::{Lines, Opening};
-use super::relay::{relay, say_last};
+use super::relay::{Stands, relay, resume, say_last};
 use super::room::Place;
+use super::service::handover::{self, Handed};
 use socket2::SockRef;
-use spanspur::api::{Ended, Event, Outcome, Request, RequestId, ServerId, Time};
+use spanspur::api::{Ended, Event, Outcome, Request, ServerId, Time};
 use std::io::ErrorKind;
+use std::os::fd::AsFd;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,17 +37,29 @@
 const BUSY: &str = "BUSY\r\n";
 
 /// Serves one connection of a client, to its end.
-pub async fn serve(host: Rc<Host>, client: TcpStream, mut place: Place) {
+pub async fn serve(host: Rc<Host>, client: TcpStream, mut place: Place, mut reader: Reader) {
     // Lines are short and waited for: none is held back for more to come.
     let _ = client.set_nodelay(true);
-    let first = tokio::select! {
-        first = first_line(&host, &client) => first,
-        () = place.evicted() => return turn_away(&client),
+    let mut keep = false;
+    let first = loop {
+        tokio::select! {
+            first = reader.first_line(&host, &client) => break first,
+            () = place.evicted() => return turn_away(&client),
+            giving = handover::giving(&host), if !keep => {
+                let left = (reader.end - Instant::now()).as_secs_f64();
+                let handed = Handed::Reading(reader.lines.read(), left);
+                if giving.give(handed, &[client.as_fd()]).await {
+                    return;
+                }
+                keep = true;
+            }
+        }
     };
+    drop(reader);
     let opened = match first {
         None => return,
         Some(Ok(opening)) => {
-            if !place.serve(host.node().sockets) {
+            if !place.serve(host.sockets()) {
                 return turn_away(&client);
             }
             open(&host, &client, opening).await
@@ -54,8 +68,8 @@
     };
     let answer = match opened {
         Opened::Left => return,
-        Opened::Stands(ticket, ids, backend, orders) => {
-            relay(host, ids, client, backend, orders).await;
+        Opened::Stands(ticket, stands, backend, orders) => {
+            relay(host, *stands, client, backend, orders).await;
             return drop(ticket);
         }
         Opened::Answer(line) => line,
@@ -84,14 +98,28 @@
     }
 }
 
+/// Goes on with a connection that stood at another process of this balancer.
+pub async fn go_on(
+    host: Rc<Host>,
+    stands: Stands,
+    client: TcpStream,
+    backend: TcpStream,
+    place: Place,
+) {
+    let (request, server) = (stands.request, stands.server);
+    let Some((ticket, orders)) = host.enter(request.id) else {
+        check::count("a connection that was handed over is here already");
+        return;
+    };
+    host.event(Event::Open(request, server));
+    host.stands(request.id, server);
+    resume(host, stands, client, backend, orders).await;
+    drop((ticket, place));
+}
+
 /// What comes of a first line.
 enum Opened {
-    Stands(
-        Ticket,
-        (RequestId, ServerId, u32),
-        Backend,
-        UnboundedReceiver<Order>,
-    ),
+    Stands(Ticket, Box<Stands>, Backend, UnboundedReceiver<Order>),
     /// Synthetic answer.
     Answer(String),
     /// The client has gone, and nothing is owed.
@@ -123,35 +151,62 @@
     let _ = SockRef::from(client).send(BUSY.as_bytes());
 }
 
-/// The first line that asks for a connection; `None` if the client ends, or says too little in its time. All that
-/// a client sends before its answer has to be one line: who sends more does not speak this protocol.
-async fn first_line(host: &Rc<Host>, client: &TcpStream) -> Option<Result<Opening, &'static str>> {
-    let mut reading = Some(Reading::new(host));
-    let mut lines = Lines::default();
-    let mut end = Instant::now() + FIRST_LINE;
-    loop {
-        let line = match timeout_at(end, lines.next(client)).await {
-            Ok(Ok(Some(line))) if lines.is_empty() => line,
-            Ok(Ok(Some(_))) => return Some(Err("more than one line")),
-            Ok(Err(e)) if e.kind() == ErrorKind::Other => return Some(Err("not a line of text")),
-            _ => return None,
-        };
-        if line != "PING" {
-            let node = host.node();
-            return Some(Opening::parse(&line, &node.classes, node.groups));
+/// What a client has said so far, before it has asked for a connection.
+pub struct Reader {
+    lines: Lines,
+    end: Instant,
+    counted: Option<Reading>,
+}
+
+impl Reader {
+    /// Nothing said yet.
+    pub fn new(host: &Rc<Host>) -> Self {
+        Self::after(host, Vec::new(), FIRST_LINE)
+    }
+
+    /// These bytes said to another process of this balancer, and so much time left.
+    pub fn after(host: &Rc<Host>, said: Vec<u8>, left: Duration) -> Self {
+        Self {
+            lines: Lines::from(said),
+            end: Instant::now() + left,
+            counted: Some(Reading::new(host)),
         }
-        // The front sends clients from the answer on, so it has to wait until a server is known.
-        while !host.ready() && !*host.lameduck.borrow() {
-            sleep(NOT_READY).await;
+    }
+
+    /// The first line that asks for a connection; `None` if the client ends, or says too little in its time. All
+    /// that a client sends before its answer has to be one line: who sends more does not speak this protocol. Safe
+    /// to drop halfway.
+    async fn first_line(
+        &mut self,
+        host: &Rc<Host>,
+        client: &TcpStream,
+    ) -> Option<Result<Opening, &'static str>> {
+        loop {
+            let line = match timeout_at(self.end, self.lines.next(client)).await {
+                Ok(Ok(Some(line))) if self.lines.is_empty() => line,
+                Ok(Ok(Some(_))) => return Some(Err("more than one line")),
+                Ok(Err(e)) if e.kind() == ErrorKind::Other => {
+                    return Some(Err("not a line of text"));
+                }
+                _ => return None,
+            };
+            if line != "PING" {
+                let node = host.node();
+                return Some(Opening::parse(&line, &node.classes, node.groups));
+            }
+            // The front sends clients from the answer on, so it has to wait until a server is known.
+            while !host.ready() && !*host.lameduck.borrow() {
+                sleep(NOT_READY).await;
+            }
+            let answer = match *host.lameduck.borrow() {
+                true => BUSY,
+                false => "PONG\r\n",
+            };
+            client.try_write(answer.as_bytes()).ok()?;
+            // The front is nobody who waits for an answer of ours.
+            self.counted.take();
+            self.end = Instant::now() + FRONT;
         }
-        let answer = match *host.lameduck.borrow() {
-            true => BUSY,
-            false => "PONG\r\n",
-        };
-        client.try_write(answer.as_bytes()).ok()?;
-        // The front is nobody who waits for an answer of ours.
-        reading.take();
-        end = Instant::now() + FRONT;
     }
 }
 
@@ -178,7 +233,8 @@
         tracing::debug!(req = %id, server = %server, group = ?opening.request.group, "is open");
         host.event(Event::Open(opening.request, server));
         host.stands(id, server);
-        return Opened::Stands(ticket, (id, server, 0), backend, orders);
+        let stands = Box::new(Stands::new(opening.request, server, 0));
+        return Opened::Stands(ticket, stands, backend, orders);
     }
     let Request {
         class,
@@ -209,7 +265,7 @@
             Some(Order::Refuse(ms)) => return refused(ms),
             Some(Order::Fail) => return failed(),
             // What has been called off or moved is over already.
-            Some(Order::Cancel(_) | Order::Move) => continue,
+            Some(Order::Cancel(_) | Order::Move | Order::Give) => continue,
             None => return Opened::Left,
         };
         // Leaving this select closes the attempt's connection, whatever it was doing.
@@ -232,7 +288,8 @@
                 tracing::debug!(req = %id, server = %server, attempt, "stands");
                 host.event(Event::Standing(id, server));
                 host.stands(id, server);
-                return Opened::Stands(ticket, (id, server, attempt), backend, orders);
+                let stands = Box::new(Stands::new(opening.request, server, attempt));
+                return Opened::Stands(ticket, stands, backend, orders);
             }
             Err(outcome) => {
                 tracing::debug!(req = %id, server = %server, attempt, ?outcome, "an attempt has ended");
@@ -258,7 +315,7 @@
                 // Two attempts of one request are never out at once.
                 check::holds(false, "an attempt is sent while one is out");
             }
-            Some(Order::Move) => {}
+            Some(Order::Move | Order::Give) => {}
             order => return order,
         }
     }
--- a/src/net/room.rs
+++ b/src/net/room.rs
@@ -35,6 +35,25 @@
         self.enter_of(sockets.saturating_sub(SPARE).max(SERVED))
     }
 
+    /// The descriptors that are held.
+    pub fn held(&self) -> usize {
+        self.held.get()
+    }
+
+    /// The place of a client that comes from another process of this balancer, whatever the room.
+    pub fn take(self: &Rc<Self>, served: bool) -> Place {
+        let mut place = Place {
+            room: self.clone(),
+            held: if served { SERVED } else { IDLE },
+            evict: None,
+        };
+        self.held.set(self.held.get() + place.held);
+        if !served {
+            place.idle();
+        }
+        place
+    }
+
     /// A place among so many descriptors.
     pub fn enter_of(self: &Rc<Self>, limit: usize) -> Option<Place> {
         let mut place = Place {
--- a/src/net/service/calls.rs
+++ b/src/net/service/calls.rs
@@ -6,6 +6,7 @@
 use crate::net::relay::say_last;
 use crate::net::room::Room;
 use spanspur::api::ServerId;
+use spanspur_handover::frame::Frame;
 use spanspur_service::call::{Answer, Call, MAX_BODY, MAX_HEAD, read};
 use spanspur_service::outs::No;
 use std::io;
@@ -102,10 +103,12 @@
             ) {
                 (false, ..) => Answer::new(503, "no stream server is known yet"),
                 (_, false, _) => Answer::new(503, "another process takes the clients"),
-                (_, _, true) => Answer::new(503, "is emptied"),
+                (_, _, true) if host.told_lameduck.get() => Answer::new(503, "is emptied"),
                 _ => Answer::new(200, "takes clients"),
             },
             Call::Lameduck(on) => {
+                host.told_lameduck.set(*on);
+                host.tell(|| Frame::Lameduck(*on));
                 let changed = host
                     .lameduck
                     .send_if_modified(|was| std::mem::replace(was, *on) != *on);
@@ -149,6 +152,7 @@
             return Answer::new(503, format!("cannot be kept, so nothing changes: {e}"));
         }
         self.host.take_outs(&outs);
+        self.host.tell(|| Frame::Outs(outs.write()));
         Answer::new(200, if out { "is out" } else { "may serve again" })
     }
 }
--- a/src/net/service/kept.rs
+++ b/src/net/service/kept.rs
@@ -24,6 +24,13 @@
         }
     }
 
+    /// The path of something else that is kept beside it.
+    pub fn beside(&self, extension: &str) -> Option<PathBuf> {
+        self.path
+            .as_ref()
+            .map(|path| path.with_extension(extension))
+    }
+
     /// What it holds. A file that cannot be trusted is set aside, and never a reason not to start.
     pub fn read(&self) -> Option<Outs> {
         let path = self.path.as_ref()?;
--- a/src/net/service/mod.rs
+++ b/src/net/service/mod.rs
@@ -1,12 +1,16 @@
 //! What the staff does to a running balancer: the driver of `spanspur-service`.
 
 mod calls;
+pub mod handover;
 mod kept;
 pub mod listener;
 
 use super::drain::Mover;
 use super::host::Host;
+use handover::{Predecessor, Succession};
+use spanspur_handover::stage::Heard;
 use spanspur_service::pace::Pace;
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -20,17 +24,64 @@
 /// How often the rest is looked at.
 const TICK: Duration = Duration::from_millis(20);
 
-/// Takes up which backends are taken out, and answers calls if there is an address for them.
-pub fn start(host: &Rc<Host>, listener: Option<TcpListener>) {
-    let kept = Rc::new(kept::Kept::open(&host.node().name));
-    if let Some(outs) = kept.read() {
-        let out: Vec<&str> = outs.out().collect();
-        tracing::info!(out = out.join(" "), "stream servers that are taken out");
-        host.take_outs(&outs);
+/// The staff's part of this process.
+pub struct Service {
+    succession: Option<Rc<Succession>>,
+    predecessor: RefCell<Option<Predecessor>>,
+}
+
+impl Service {
+    /// Takes up which backends are taken out, and what another process of this balancer knows; answers calls if
+    /// there is an address for them.
+    pub async fn start(host: &Rc<Host>, calls: Option<TcpListener>) -> Self {
+        let node = host.node();
+        let kept = Rc::new(kept::Kept::open(&node.name));
+        if let Some(outs) = kept.read() {
+            let out: Vec<&str> = outs.out().collect();
+            tracing::info!(out = out.join(" "), "stream servers that are taken out");
+            host.take_outs(&outs);
+        }
+        // Only where the platform holds the clients' socket can two processes take clients one after the other.
+        let place = kept.beside("sock").filter(|_| node.accept_fd.is_some());
+        let succession = place.map(|path| Succession::new(host.clone(), &path));
+        let predecessor = match &succession {
+            Some(succession) => succession.meet().await,
+            None => None,
+        };
+        // The one before takes them until this one is ready.
+        host.accepting.send_replace(predecessor.is_none());
+        if let Some(listener) = calls {
+            spawn_local(calls::run(host.clone(), listener, kept));
+            spawn_local(lameduck(host.clone()));
+        }
+        Self {
+            succession,
+            predecessor: RefCell::new(predecessor),
+        }
     }
-    if let Some(listener) = listener {
-        spawn_local(calls::run(host.clone(), listener, kept));
-        spawn_local(lameduck(host.clone()));
+
+    /// The version of the list that was taken over from the process before.
+    pub fn resumed(&self) -> Option<Option<u64>> {
+        self.predecessor
+            .borrow()
+            .as_ref()
+            .map(|before| before.revision)
+    }
+
+    /// All is set up: this process takes clients.
+    pub async fn takes_clients(&self, host: &Host) {
+        let predecessor = self.predecessor.take();
+        if let Some(succession) = &self.succession {
+            succession.ready(predecessor).await;
+        }
+        host.accepting.send_replace(true);
+    }
+
+    /// This process is told to leave.
+    pub fn leave(&self) {
+        if let Some(succession) = &self.succession {
+            succession.hear(Heard::Leave);
+        }
     }
 }
 
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! Stories over loopback sockets: one balancer process among scripted peers.
 
 mod peers;
+mod replace;
 mod service;
 use peers::*;
 use std::net::Shutdown;
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -370,3 +370,26 @@
     let _ = peer.0.read_to_string(&mut text);
     text
 }
+
+/// A backend that takes everyone and answers each line, on threads of its own.
+pub fn obliging(id: &'static str) -> Backend {
+    let backend = Backend::new(id);
+    let listener = backend.listener.try_clone().expect("a socket");
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || {
+                let mut peer = Peer::new(stream);
+                peer.line();
+                let mut answer = "UP r1\r\n".to_owned();
+                while peer.0.get_mut().write_all(answer.as_bytes()).is_ok() {
+                    let mut line = String::new();
+                    match peer.0.read_line(&mut line) {
+                        Ok(n) if n > 0 => answer = line,
+                        _ => return,
+                    }
+                }
+            });
+        }
+    });
+    backend
+}
--- /dev/null
+++ b/tests/sockets/replace.rs
@@ -0,0 +1,235 @@
+//! Stories of a replacement: two processes of one balancer, the platform's socket, and what becomes of clients.
+
+use crate::peers::*;
+use spanspur_handover::frame::{Frame, VERSION, encode};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// One balancer's place on the platform: its address, the socket that is held there, its folder.
+struct Place {
+    address: SocketAddr,
+    held: TcpListener,
+    folder: Arc<Folder>,
+    discovery: Discovery,
+    known: Vec<String>,
+}
+
+impl Place {
+    fn new(backends: &[&Backend]) -> Self {
+        let [address, _] = free_ports();
+        Self {
+            address,
+            held: TcpListener::bind(address).expect("free"),
+            folder: Arc::new(Folder::new(address)),
+            discovery: Discovery::new(),
+            known: backends.iter().map(|one| one.entry("SERVING")).collect(),
+        }
+    }
+
+    /// Starts a process beside whatever runs, and waits for its yes.
+    fn start(&self) -> Balancer {
+        let [_, operator] = free_ports();
+        let folder = self.folder.clone();
+        let held = Some(&self.held);
+        let process = Balancer::begin(
+            folder,
+            self.address,
+            operator,
+            held,
+            &self.discovery,
+            &self.known,
+        );
+        wait_until(|| TcpStream::connect(operator).is_ok());
+        wait_until(|| process.call("/_ready", "").0 == 200);
+        process
+    }
+
+    /// The older process leaves, as the platform has it, when the newer one has said yes.
+    fn replace(&self, old: Balancer) -> Balancer {
+        let new = self.start();
+        old.signal("-TERM");
+        assert_eq!(old.exit(), Some(0));
+        new
+    }
+
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.0.join("log")).unwrap_or_default()
+    }
+
+    /// Comes to the process that serves as one that would replace it.
+    fn come(&self, frames: &[Frame]) -> UnixStream {
+        let mut stream = UnixStream::connect(self.folder.0.join("spanspur-n0.sock")).expect("held");
+        for frame in frames {
+            stream
+                .write_all(&encode(frame, 0).expect("small"))
+                .expect("taken");
+        }
+        stream
+    }
+}
+
+fn echo(client: &mut Peer, text: &str) {
+    client.say(text);
+    assert_eq!(client.line(), text);
+}
+
+#[test]
+fn what_stands_and_what_is_half_said_goes_on_through_two_replacements() {
+    let backend = Backend::new("s-1");
+    let place = Place::new(&[&backend]);
+    let old = place.start();
+    let (mut client, mut server) = old.standing(0x11, &backend);
+    // Half a line each way, half a first line, and a front that asks again on its connection.
+    client.say("M 1\r\nM");
+    assert_eq!(server.line(), "M 1\r\n");
+    server.say("R");
+    let mut half = old.connect();
+    half.say("OPEN 00000000000000");
+    let mut front = old.connect();
+    front.say("PING\r\n");
+    assert_eq!(front.line(), "PONG\r\n");
+    let new = place.replace(old);
+    server.say(" 1\r\n");
+    assert_eq!(client.line(), "R 1\r\n");
+    client.say(" 2\r\n");
+    assert_eq!(server.line(), "M 2\r\n");
+    half.say("12 7f3a c=live,d=2000,g=5c0f\r\n");
+    let (mut other, line) = backend.accept();
+    assert!(line.starts_with("OPEN 0000000000000012 "), "{line}");
+    other.say("UP r2\r\n");
+    assert_eq!(half.line(), "UP r2\r\n");
+    front.say("PING\r\n");
+    assert_eq!(front.line(), "PONG\r\n");
+    let third = place.replace(new);
+    client.say("M 3\r\n");
+    assert_eq!(server.line(), "M 3\r\n");
+    // A process that leaves with nobody to follow moves them, as ever.
+    third.signal("-TERM");
+    for mut one in [client, half] {
+        assert_eq!((one.line(), one.line()), ("MOVE\r\n".into(), String::new()));
+    }
+    drop(front);
+    assert_eq!(third.exit(), Some(0));
+}
+
+#[test]
+fn under_load_no_client_is_refused_reset_or_left_unread() {
+    let (one, two) = (obliging("s-1"), obliging("s-2"));
+    let place = Place::new(&[&one, &two]);
+    let mut process = place.start();
+    let address = place.address;
+    let clients: Vec<_> = (0..4)
+        .map(|thread| {
+            std::thread::spawn(move || {
+                let mut standing = Vec::new();
+                for n in 0..24 {
+                    let mut client = Peer::new(TcpStream::connect(address).expect("accepted"));
+                    let id = 0x1000 * (thread + 1) + n;
+                    client.say(&format!("OPEN {id:016x} {id:x} c=live,d=2000,g={id:x}\r\n"));
+                    assert_eq!(client.line(), "UP r1\r\n", "client {id:x}");
+                    standing.push(client);
+                    std::thread::sleep(Duration::from_millis(30));
+                    // Those that stand are as they were.
+                    let at = n as usize / 2;
+                    echo(&mut standing[at], "M\r\n");
+                }
+                standing
+            })
+        })
+        .collect();
+    for _ in 0..3 {
+        std::thread::sleep(Duration::from_millis(150));
+        process = place.replace(process);
+    }
+    for thread in clients {
+        for mut client in thread.join().expect("no client is lost") {
+            echo(&mut client, "M 9\r\n");
+        }
+    }
+    assert!(!place.log().contains("counter="), "{}", place.log());
+}
+
+#[test]
+fn what_is_out_or_emptied_stays_so_through_a_replacement() {
+    let (one, two) = (Backend::new("s-1"), obliging("s-2"));
+    let place = Place::new(&[&one, &two]);
+    let old = place.start();
+    assert_eq!(old.call("/_stream-servers/detach", "s-1").0, 200);
+    assert_eq!(old.call("/_lameduck/on", "").0, 200);
+    // It takes over all the same: its yes is for the replacement, its answer to the front is no.
+    let new = place.replace(old);
+    let ping = |process: &Balancer| {
+        let mut front = process.connect();
+        front.say("PING\r\n");
+        front.line()
+    };
+    assert_ne!(ping(&new), "PONG\r\n");
+    assert_eq!(new.call("/_lameduck/off", "").0, 200);
+    assert_eq!(ping(&new), "PONG\r\n");
+    for id in 0x21..0x29 {
+        assert_eq!(new.open(id, 2000).line(), "UP r1\r\n");
+    }
+    assert!(one.is_left_alone(Duration::from_millis(50)));
+    assert_eq!(new.call("/_stream-servers/attach", "s-1").0, 200);
+}
+
+#[test]
+fn one_that_dies_on_the_way_leaves_the_other_serving() {
+    let backend = obliging("s-1");
+    let place = Place::new(&[&backend]);
+    let process = place.start();
+    let mut client = process.open(0x31, 2000);
+    assert_eq!(client.line(), "UP r1\r\n");
+    let serves = |id| assert_eq!(process.open(id, 2000).line(), "UP r1\r\n");
+    // Nonsense, another version, one that dies before its yes.
+    place
+        .come(&[])
+        .write_all(b"GET / HTTP/1.1\r\n")
+        .expect("taken");
+    drop(place.come(&[Frame::Hello(VERSION + 1)]));
+    drop(place.come(&[Frame::Hello(VERSION)]));
+    serves(0x32);
+    // One that says yes, and takes nothing: clients come to nobody until it has gone.
+    let mut dead = place.come(&[Frame::Hello(VERSION), Frame::Ready]);
+    wait_until(|| process.call("/_ready", "").0 == 503);
+    drop(dead);
+    serves(0x33);
+    // One that says yes and dies while it is given what stands: it is moved then.
+    dead = place.come(&[Frame::Hello(VERSION), Frame::Ready]);
+    wait_until(|| process.call("/_ready", "").0 == 503);
+    process.signal("-TERM");
+    wait_until(|| place.log().contains("does=Give"));
+    let mut some = [0; 64];
+    dead.read_exact(&mut some).expect("it is told something");
+    drop(dead);
+    echo_or_move(&mut client);
+    drop(client);
+    assert_eq!(process.exit(), Some(0));
+}
+
+/// The connection goes on where it was, until it is moved.
+fn echo_or_move(client: &mut Peer) {
+    client.say("M 1\r\n");
+    let mut line = client.line();
+    if line == "M 1\r\n" {
+        line = client.line();
+    }
+    assert_eq!(line, "MOVE\r\n");
+}
+
+#[test]
+fn one_that_dies_before_it_is_replaced_costs_the_next_one_nothing() {
+    let backend = obliging("s-1");
+    let place = Place::new(&[&backend]);
+    let old = place.start();
+    assert_eq!(old.call("/_stream-servers/detach", "s-1").0, 200);
+    old.kill();
+    // Its socket's name is left, and nobody is there.
+    let new = place.start();
+    assert!(new.open(0x41, 300).line().starts_with("BUSY"));
+    assert_eq!(new.call("/_stream-servers/attach", "s-1").0, 200);
+    assert_eq!(new.open(0x42, 2000).line(), "UP r1\r\n");
+}
