Let a drowned server that is quick again fill by its room where the fleet has some

Cause: choice.rs, budget(): what a server that drowned is sent grows from the rate of first tries (2 a second), for a whole warm-up, whatever its messages say. Ruled out: the send gap (not open), cold parts, the list. Change: where its last note says quick and this node's part tells a fleet under half of its size, at least this node's part of what fills the server over a warm-up.

--- a/src/api.rs
+++ b/src/api.rs
@@ -8,7 +8,9 @@
 pub type Time = f64;
 
 /// A server, named alike at every node: the XXH3 hash of its address.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct ServerId(pub u64);
 
 impl std::fmt::Display for ServerId {
@@ -161,18 +163,19 @@
 }
 
 /// What the list says of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberState {
     /// Takes new work.
     Ready,
     /// Finishes its work and takes none.
     Draining,
     /// Removed.
+    #[default]
     Gone,
 }
 
 /// An entry of the list of servers.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct Member {
     /// The server.
     pub id: ServerId,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
 /// the warm-up.
 const RECOVERY: f64 = 2.0;
 const RECOVERY_DOUBLINGS: f64 = 2.0;
+/// A fleet that holds less than this share of its size, as far as this node's part tells, has room.
+const LIGHT: f64 = 0.5;
 /// The level of a cold server whose budget allows an attempt: under any other.
 const DUE: f64 = -1.0;
 /// What a connection is held to bring before any load is known.
@@ -65,7 +67,7 @@
 const MAX_GAP: u32 = 7;
 
 /// A server as this node knows it.
-#[derive(Deserialize, Serialize)]
+#[derive(Default, Deserialize, Serialize)]
 struct Server {
     /// Its entry in the list.
     at: Member,
@@ -111,7 +113,7 @@
     errors: u32,
 }
 
-/// The decisions of one node. What is read back by the process that takes its place goes on with new settings.
+/// The decisions of one node. Read back by the process that takes its place, it goes on with new settings.
 #[derive(Default, Deserialize, Serialize)]
 pub struct Balancer {
     #[serde(skip)]
@@ -133,6 +135,8 @@
     usual_load: (f64, f64),
     /// First tries a second, and when that was counted.
     rate: (f64, Time),
+    /// The size of all servers that take new work.
+    size: f64,
     /// Connections of this node that stand.
     #[serde(skip)]
     standing: u32,
@@ -243,23 +247,14 @@
             server.at.state = MemberState::Gone;
         }
         for entry in entries {
-            let usable = entry.weight.is_finite() && entry.weight > 0.0;
-            let weight = if usable { entry.weight } else { 1.0 };
-            let at = Member {
-                weight,
-                started: entry.started.min(now),
-                ..*entry
-            };
+            let (mut at, usable) = (*entry, entry.weight.is_finite() && entry.weight > 0.0);
+            at.started = at.started.min(now);
+            at.weight = if usable { at.weight } else { 1.0 };
             let fresh = Server {
                 at,
-                held: BTreeSet::new(),
-                level: 0.0,
-                shut_until: 0.0,
-                failures: 0,
-                errors: 0.0,
-                load: 0.0,
                 sick: f64::NEG_INFINITY,
                 tokens: (self.random(), now),
+                ..Server::default()
             };
             match self.servers.binary_search_by_key(&at.id, |s| s.at.id) {
                 Err(place) => self.servers.insert(place, fresh),
@@ -271,6 +266,11 @@
                 Ok(place) => self.servers[place].at = at,
             }
         }
+        let ready = self
+            .servers
+            .iter()
+            .filter(|s| s.at.state == MemberState::Ready);
+        self.size = ready.map(|s| s.at.weight).sum();
         // A list that drops a cold server and names it again must not bring it a fresh budget.
         let cold = now - self.config.warm_up;
         self.servers.retain(|server| {
@@ -313,15 +313,19 @@
     /// one on, or small parts never add up. What is not used in time is lost: saved up, it comes in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
         let (tokens, since) = server.tokens;
+        // This node's part of what fills the server over a warm-up.
+        let nodes = f64::from(self.config.nodes.max(1));
+        let part = UNIT * server.at.weight / self.mean_load() / self.config.warm_up / nodes;
         let fill = if warmth < 1.0 {
             let warmth = (warmth + self.warmth(since, server)) / 2.0;
-            let capacity = UNIT * server.at.weight / self.mean_load();
-            let rate = COLD_SAFETY * self.config.fall_multiple * warmth * capacity;
-            rate / self.config.warm_up / f64::from(self.config.nodes.max(1))
+            COLD_SAFETY * self.config.fall_multiple * warmth * part
         } else {
             let recovered = (now - server.sick) / self.config.warm_up;
             let rate = RECOVERY * (self.rate.0 * libm::exp2(RECOVERY_DOUBLINGS * recovered));
-            rate / self.servers.len() as f64
+            // One that drowned and is quick again is held back less where the fleet has room.
+            let load = f64::from(self.standing) * self.mean_load() * nodes;
+            let quick = server.level > 0.0 && server.level < 1.0 && load < LIGHT * UNIT * self.size;
+            (rate / self.servers.len() as f64).max(if quick { part } else { 0.0 })
         };
         let most = (fill * self.config.fall).max(1.0);
         let tokens = tokens + fill * (now - since);
@@ -453,13 +457,11 @@
         let harmless = match self.class(&live).map(|class| class.effect) {
             Some(Effect::Unsafe) => !unproved,
             Some(Effect::Keyed { scope, .. }) => scope == Scope::All || !unproved,
-            Some(Effect::Safe) | None => true,
+            _ => true,
         };
         let retry_after = self.config.max_retry_after.unwrap_or(0.0) * self.random();
-        out.push(match harmless {
-            true => Action::Refuse { id, retry_after },
-            false => Action::Fail(id),
-        });
+        let refuse = Action::Refuse { id, retry_after };
+        out.push(if harmless { refuse } else { Action::Fail(id) });
     }
 
     /// Drops all that is kept for a request.
@@ -498,11 +500,12 @@
             }
         }
         let usual = self.usual_setup;
-        self.usual_setup = match took > usual {
-            _ if usual <= 0.0 => took,
-            true => usual * USUAL_STEP,
-            false => usual / USUAL_STEP,
+        let step = if took > usual {
+            USUAL_STEP
+        } else {
+            1.0 / USUAL_STEP
         };
+        self.usual_setup = if usual <= 0.0 { took } else { usual * step };
         self.setups = self.setups.saturating_add(1);
         let level = (took - usual) / self.busy_at;
         if self.setups > SETUPS_KNOWN && level >= 1.0 {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -366,6 +366,45 @@
     assert_eq!(node.place(20.0, key), Some(server(0).id));
 }
 
+#[test]
+fn a_drowned_server_that_is_quick_again_fills_by_its_room_however_few_come_for_the_first_time() {
+    // How many of a returning crowd's requests it is sent in 5 s, where the other server is taken.
+    let crowd = |each| {
+        let mut node = loaded(
+            Config {
+                nodes: 1,
+                ..aimed()
+            },
+            1,
+            2,
+            each,
+        );
+        let key = Some(key_of_first(2));
+        node.give(6.0, Event::Delay(server(1).id, 0.5));
+        node.give(6.0, Event::Delay(server(0).id, 0.5));
+        node.give(7.0, Event::Delay(server(0).id, 0.001));
+        let sent = (0..100).filter(|i| {
+            let now = 7.0 + f64::from(*i) * 0.05;
+            let id = node.next_id();
+            let returned = true;
+            let request = Request {
+                key,
+                returned,
+                ..Request::new(id, 0, now + 0.04)
+            };
+            let to = node.ask(now, request);
+            node.give(now, Event::Gone(id));
+            to == Some(server(0).id)
+        });
+        sent.count()
+    };
+    // A server that ten connections fill, in ten seconds: one a second.
+    let light = crowd(1);
+    assert!((4..=7).contains(&light), "{light} sent to one with room");
+    let full = crowd(6);
+    assert!(full <= 2, "{full} sent in a fleet without room");
+}
+
 #[test]
 fn errors_slow_the_sends_down_and_success_frees_them() {
     let mut node = loaded(aimed(), 1, 5, 2);
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -184,14 +184,14 @@
 }
 
 /// What a story and its processes share: the configuration, the temporary folder, the log.
-pub struct Folder(pub std::path::PathBuf);
+pub struct Folder(pub std::path::PathBuf, pub usize);
 
 impl Folder {
     pub fn new(address: SocketAddr) -> Self {
         let name = format!("spanspur-{}-{}", std::process::id(), address.port());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        Self(folder)
+        Self(folder, 256)
     }
 }
 
@@ -330,6 +330,10 @@
         self.signal("-HUP");
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(
@@ -356,10 +360,10 @@
         "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
         "domain":{"groups":true,"messageAim":[0.25],"tellsDelay":true},
         "limits":{"maxAttempts":3,"connectTimeout":0.25,"cancel":true},"rules":{"askWithin":1.0}}"#;
-    let known = list(1, true, known);
+    let (known, sockets) = (list(1, true, known), folder.1);
     let text = format!(
         r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"7",
-        "limits":{{"sockets":256}},"known":{known},"settings":{settings}}}"#
+        "limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
     );
     std::fs::write(folder.0.join("config.json"), text).expect("written");
 }
--- a/tests/sockets/replace.rs
+++ b/tests/sockets/replace.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One balancer's place on the platform: its address, the socket that is held there, its folder.
 struct Place {
@@ -233,3 +233,118 @@
     assert_eq!(new.call("/_stream-servers/attach", "s-1").0, 200);
     assert_eq!(new.open(0x42, 2000).line(), "UP r1\r\n");
 }
+
+/// Measures a replacement at growing numbers of standing connections, and the same end without a successor.
+/// `cargo test --release --test sockets measure_replacement -- --ignored` writes `docs/measured/service.*`.
+#[test]
+#[ignore = "a measurement of a minute, not a check"]
+fn measure_replacement() {
+    let mut rows = Vec::new();
+    for count in [50, 200, 800, 2000] {
+        for followed in [true, false] {
+            rows.push(measure(count, followed));
+        }
+    }
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("docs/measured");
+    let mut text = String::from(
+        "# Replacement, measured\n\n\
+        Made by `cargo test --release --test sockets measure_replacement -- --ignored`, one run, the program and its peers on\n\
+        one machine. 50 of the standing clients send a line every 2 ms from SIGTERM until the old process has exited; the pause\n\
+        is the longest time from a line to its answer. Without a successor there is no pause to tell: every client is moved.\n\
+        Memory is resident, of both processes together, when the new one has just said yes, and of the old one alone before.\n\n\
+        | standing | successor | start to yes, ms | SIGTERM to exit, ms | longest pause, ms | moved or lost | MiB before | MiB both |\n\
+        | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    let mut lines = [
+        ("exit".to_owned(), vec![]),
+        ("longest pause".to_owned(), vec![]),
+    ];
+    for row in &rows {
+        let pause = row.pause.map_or("-".into(), |ms| format!("{ms:.1}"));
+        let yes = row.yes.map_or("-".into(), |ms| format!("{ms:.0}"));
+        let followed = if row.yes.is_some() { "yes" } else { "no" };
+        text += &format!(
+            "| {} | {followed} | {yes} | {:.0} | {pause} | {} | {:.1} | {:.1} |\n",
+            row.count, row.exit, row.moved, row.before, row.both
+        );
+        if let Some(pause) = row.pause {
+            lines[0].1.push((row.count as f64, row.exit));
+            lines[1].1.push((row.count as f64, pause));
+        }
+    }
+    text += "\n![Exit and pause](service-replacement.svg)\n";
+    std::fs::write(folder.join("service.md"), text).expect("written");
+    let chart = folder.join("service-replacement.svg");
+    let axes = ("standing connections", "ms");
+    spanspur_duties_rig::charts::lines(&chart, "A process is replaced", axes, false, &lines)
+        .expect("drawn");
+}
+
+struct Row {
+    count: usize,
+    yes: Option<f64>,
+    exit: f64,
+    pause: Option<f64>,
+    moved: usize,
+    before: f64,
+    both: f64,
+}
+
+fn measure(count: usize, followed: bool) -> Row {
+    let backends = ["s-1", "s-2"].map(obliging);
+    let mut place = Place::new(&[&backends[0], &backends[1]]);
+    Arc::get_mut(&mut place.folder).expect("alone").1 = 16_000;
+    let old = place.start();
+    let mut clients: Vec<Peer> = (0..count as u64).map(|id| old.open(id, 2000)).collect();
+    for client in &mut clients {
+        assert_eq!(client.line(), "UP r1\r\n");
+    }
+    let mib = |pid: u32| {
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find(|line| line.starts_with("VmRSS"));
+        let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
+        kib.unwrap_or(0.0) / 1024.0
+    };
+    let ms = |from: Instant| from.elapsed().as_secs_f64() * 1000.0;
+    let before = mib(old.pid());
+    let start = Instant::now();
+    let new = followed.then(|| place.start());
+    let yes = followed.then(|| ms(start));
+    let both = mib(old.pid()) + new.as_ref().map_or(0.0, |new| mib(new.pid()));
+    let told = Instant::now();
+    old.signal("-TERM");
+    let exit = std::thread::spawn(move || {
+        assert_eq!(old.exit(), Some(0));
+        ms(told)
+    });
+    let (mut pause, mut moved) = (0.0, 0);
+    if followed {
+        while !exit.is_finished() {
+            for client in &mut clients[..50] {
+                let asked = Instant::now();
+                echo(client, "M\r\n");
+                pause = f64::max(pause, ms(asked));
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        clients
+            .iter_mut()
+            .for_each(|client| echo(client, "M 2\r\n"));
+    } else {
+        for client in &mut clients {
+            moved += usize::from(client.line() == "MOVE\r\n");
+        }
+        clients.clear();
+    }
+    let exit = exit.join().expect("it exits");
+    let pause = followed.then_some(pause);
+    Row {
+        count,
+        yes,
+        exit,
+        pause,
+        moved,
+        before,
+        both,
+    }
+}
