--- a/tests/sockets/replace.rs
+++ b/tests/sockets/replace.rs
@@ -295,10 +295,13 @@
     let mut place = Place::new(&[&backends[0], &backends[1]]);
     Arc::get_mut(&mut place.folder).expect("alone").1 = 16_000;
     let old = place.start();
-    let mut clients: Vec<Peer> = (0..count as u64).map(|id| old.open(id, 2000)).collect();
-    for client in &mut clients {
+    // One after the other: the stand-ins' listeners hold few that wait, and who waits too long is refused.
+    let open = |id| {
+        let mut client = old.open(id, 2000);
         assert_eq!(client.line(), "UP r1\r\n");
-    }
+        client
+    };
+    let mut clients: Vec<Peer> = (0..count as u64).map(open).collect();
     let mib = |pid: u32| {
         let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
         let line = status.lines().find(|line| line.starts_with("VmRSS"));
