--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -64,6 +64,10 @@
         )
     }
 
+    pub fn at(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+
     /// The next connection, and the first line on it.
     pub fn accept(&self) -> (Peer, String) {
         let mut peer = Peer::new(self.listener.accept().expect("a connection").0);
--- a/tests/sockets/service.rs
+++ b/tests/sockets/service.rs
@@ -3,6 +3,7 @@
 use crate::peers::*;
 use std::io::Write;
 use std::net::TcpListener;
+use std::os::fd::OwnedFd;
 use std::time::{Duration, Instant};
 
 const DETACH: &str = "/_stream-servers/detach";
@@ -15,7 +16,6 @@
     let (mut client, mut server) = balancer.standing(0xd1, &backend);
     assert_eq!(balancer.call(DETACH, "s-9").0, 404);
     assert_eq!(balancer.call(ATTACH, "s-9").0, 404);
-    // An attempt that is connecting when the call comes, or that waits, is not sent on after it.
     assert_eq!(balancer.call(DETACH, "s-1\n").0, 200);
     assert_eq!(balancer.call(DETACH, "s-1").0, 200);
     let refused = |id| {
@@ -31,6 +31,14 @@
     discovery.tell(4, true, &[backend.entry("SERVING")]);
     discovery.wait_for_calls(4);
     refused(0xd4);
+    // Put back while no list names it, and taken out once more.
+    discovery.tell(5, true, &[]);
+    discovery.wait_for_calls(5);
+    assert_eq!(balancer.call(ATTACH, "s-1").0, 200);
+    assert_eq!(balancer.call(DETACH, "s-1").0, 200);
+    discovery.tell(6, true, &[backend.entry("SERVING")]);
+    discovery.wait_for_calls(6);
+    refused(0xd6);
     // What stands there may go on until the server ends it.
     client.say("M 1\r\n");
     assert_eq!(server.line(), "M 1\r\n");
@@ -39,6 +47,30 @@
     balancer.standing(0xd5, &backend);
 }
 
+#[test]
+fn a_retry_does_not_go_to_a_server_taken_out_while_the_attempt_before_was_out() {
+    let (discovery, one, two) = (Discovery::new(), Backend::new("s-1"), Backend::new("s-2"));
+    let fleet = [one.entry("SERVING"), two.entry("SERVING")];
+    let balancer = Balancer::start(&discovery, &fleet);
+    let mut client = balancer.open(0xc1, 1500);
+    let (mut server, _) = next_of(&[&one, &two]);
+    let at = server.stream().local_addr().expect("bound");
+    let (asked, other) = if one.at() == at {
+        (&one, &two)
+    } else {
+        (&two, &one)
+    };
+    assert_eq!(balancer.call(DETACH, other.id).0, 200);
+    server.say("BUSY\r\n");
+    assert!(client.line().starts_with("BUSY"));
+    assert!(other.is_left_alone(Duration::from_millis(50)));
+    // The file is there before the yes: one killed in between has it out as well, and a second call is a yes.
+    assert_eq!(balancer.call(DETACH, asked.id).0, 200);
+    let kept = std::fs::read(balancer.folder().0.join("spanspur-n0.outs")).expect("the file");
+    let kept = spanspur_service::outs::Outs::read(&kept).expect("whole");
+    assert_eq!(kept.out().count(), 2);
+}
+
 #[test]
 fn what_is_out_outlives_a_kill_and_a_torn_file_is_set_aside() {
     let (discovery, one, two) = (Discovery::new(), Backend::new("s-1"), Backend::new("s-2"));
@@ -163,24 +195,42 @@
     let folder = std::sync::Arc::new(Folder::new(address));
     let held = TcpListener::bind(address).expect("free");
     let connected = std::net::TcpStream::connect(address).expect("accepted");
-    // A socket that is connected goes where one that listens should; the file and the closed number come without.
-    let as_listener = TcpListener::from(std::os::fd::OwnedFd::from(connected));
-    let wrong = Balancer::begin(
-        folder.clone(),
-        address,
-        operator,
-        Some(&as_listener),
-        &discovery,
-        &[],
-    );
-    let log = wrong.folder().0.join("log");
-    assert_eq!(wrong.exit(), Some(1));
-    let log = std::fs::read_to_string(log).expect("a log");
-    assert!(
-        log.contains("BALANCER_ACCEPT_FD: descriptor 4 is a socket that does not listen"),
-        "{log}"
-    );
+    let file = std::fs::File::open("/dev/null").expect("a file");
+    let wrong = [
+        (
+            OwnedFd::from(connected),
+            "descriptor 4 is a socket that does not listen",
+        ),
+        (
+            OwnedFd::from(file),
+            "descriptor 4 is not a socket: /dev/null",
+        ),
+    ];
+    for (fd, what) in wrong {
+        let held = TcpListener::from(fd);
+        let start = (folder.clone(), address, operator);
+        let process = Balancer::begin(start.0, start.1, start.2, Some(&held), &discovery, &[]);
+        assert_eq!(process.exit(), Some(1));
+        let log = std::fs::read_to_string(folder.0.join("log")).expect("a log");
+        assert!(
+            log.contains(&format!("BALANCER_ACCEPT_FD: {what}")),
+            "{log}"
+        );
+    }
     drop(held);
+    // A number that nothing is open under, and one that is none.
+    for (fd, what) in [
+        ("9", "descriptor 9 is not open"),
+        ("x", "not the number of a descriptor"),
+    ] {
+        let ended = std::process::Command::new(env!("CARGO_BIN_EXE_spanspur"))
+            .env("BALANCER_CONFIG", folder.0.join("config.json"))
+            .env("BALANCER_ACCEPT_FD", fd)
+            .output()
+            .expect("it starts");
+        let log = String::from_utf8_lossy(&ended.stderr);
+        assert!(!ended.status.success() && log.contains(what), "{log}");
+    }
 }
 
 #[test]
