--- a/src/net/service/handover.rs
+++ b/src/net/service/handover.rs
@@ -18,6 +18,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{BorrowedFd, OwnedFd};
+use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -290,6 +291,8 @@
             .with_extension(format!("sock{}", std::process::id()));
         let _ = std::fs::remove_file(&fresh);
         let listener = UnixListener::bind(&fresh)?;
+        // Whoever comes here is given the clients: the owner's processes only.
+        std::fs::set_permissions(&fresh, std::fs::Permissions::from_mode(0o600))?;
         std::fs::rename(&fresh, &self.path)?;
         Ok(listener)
     }
