Ask a silent discovery again in time: calls wait 3 s and are given up 1.2 s later

At fault: WAIT and SILENCE in src/net/director.rs (4 + 2 s: nothing was left for a second call). Ruled out: connects that come up late (the check after the connect holds), the module's pauses (0.2 to 0.5 s), lost answers. Change: a call waits 3 s and is given up after 4.2 s. Rejected: no pause after a time-out, which sends all calls at once.

--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -15,9 +15,11 @@
 
 /// How long a call may wait at discovery for something new. A discovery that falls silent is noticed only after
 /// this, and meanwhile backends drain and go untold.
-const WAIT: Duration = Duration::from_secs(4);
-/// Past that, a call without an answer has failed: discovery is cut off and gives no sign.
-const SILENCE: Duration = Duration::from_secs(2);
+const WAIT: Duration = Duration::from_secs(3);
+/// Past that, a call without an answer has failed: discovery is cut off and gives no sign. What a silent watch
+/// misses counts as told after 6 s, and where all fall silent at once the next call is turned away first: the
+/// rest of that time is for asking again.
+const SILENCE: Duration = Duration::from_millis(1200);
 
 /// Connecting to discovery takes no longer than this.
 const CONNECT: Duration = Duration::from_secs(1);
