Space the parts of a cold server's budget, and keep them for a group's first servers

At fault: choice.rs, choose(): a due part went before the ranking for whichever key came. Change: a due part is for keys that have the server among the first 0.15 of their ranking by full size, more where a node sees few requests before the part is lost (all arrivals are counted for that). The module's kept form grew by one figure: the version of the handover is 2.

--- a/crates/handover/src/frame.rs
+++ b/crates/handover/src/frame.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// The version of all of this. Two that differ do not talk: the older one serves to its end.
-pub const VERSION: u32 = 1;
+pub const VERSION: u32 = 2;
 /// The longest frame, in bytes: a list of some ten thousand servers.
 pub const MAX_FRAME: usize = 1024 * 1024;
 /// The most descriptors beside a frame: a client's and its backend's.
--- a/src/api.rs
+++ b/src/api.rs
@@ -110,6 +110,8 @@
 pub struct Config {
     /// How many nodes share the traffic.
     pub nodes: u32,
+    /// This node's number among them, from 0 on.
+    pub number: u32,
     /// This node's zone.
     pub zone: u32,
     /// The classes; requests name them by place.
@@ -144,6 +146,7 @@
     fn default() -> Self {
         Self {
             nodes: 1,
+            number: 0,
             zone: 0,
             classes: Vec::new(),
             discovery: Discovery::Push,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,16 +28,20 @@
 /// but one there: then many nodes hold none, hear nothing and go on sending.
 const MOVE_RATE: f64 = 0.12;
 const MOVE_MORE: f64 = 2.5;
-/// Share of the fall budget that is used; the rest is for chance and for what other nodes misjudge.
-const COLD_SAFETY: f64 = 0.6;
-/// What a server that drowned is sent at first, in its share of first tries; how often that doubles over
-/// the warm-up.
+/// Share of the fall budget that is used; the rest is for what other nodes misjudge.
+const COLD_SAFETY: f64 = 0.75;
+/// A node begins with a part of an attempt, or small parts never add up. Times its number, this spaces
+/// those of a fleet evenly: they fall due one after the other, not by chance together.
+const GOLDEN: f64 = 0.618_033_988_749_895;
+/// What a server that drowned is sent at first, in its share of first tries; its doublings over a warm-up.
 const RECOVERY: f64 = 2.0;
 const RECOVERY_DOUBLINGS: f64 = 2.0;
 /// A fleet that holds less than this share of its size, as far as this node's part tells, has room.
 const LIGHT: f64 = 0.5;
-/// The level of a cold server whose budget allows an attempt: under any other.
+/// The level of a cold server whose budget allows an attempt: under any other. Only for keys that have it
+/// among this share of their first servers once it is warm: each group is paid for at each server.
 const DUE: f64 = -1.0;
+const HOMES: f64 = 0.15;
 /// What a connection is held to bring before any load is known.
 const UNKNOWN_LOAD: f64 = UNIT / 10.0;
 /// Arrivals are counted over about this many seconds.
@@ -133,8 +137,8 @@
     started: bool,
     /// The mean load of a connection, by so many notes.
     usual_load: (f64, f64),
-    /// First tries a second, and when that was counted.
-    rate: (f64, Time),
+    /// First tries a second and all arrivals, and when that was counted.
+    rate: (f64, f64, Time),
     /// The size of all servers that take new work.
     size: f64,
     /// Connections of this node that stand.
@@ -250,10 +254,11 @@
             let (mut at, usable) = (*entry, entry.weight.is_finite() && entry.weight > 0.0);
             at.started = at.started.min(now);
             at.weight = if usable { at.weight } else { 1.0 };
+            let part = f64::from(self.config.number) * GOLDEN + fraction(mix64(at.id.0));
             let fresh = Server {
                 at,
                 sick: f64::NEG_INFINITY,
-                tokens: (self.random(), now),
+                tokens: (part.fract(), now),
                 ..Server::default()
             };
             match self.servers.binary_search_by_key(&at.id, |s| s.at.id) {
@@ -266,10 +271,8 @@
                 Ok(place) => self.servers[place].at = at,
             }
         }
-        let ready = self
-            .servers
-            .iter()
-            .filter(|s| s.at.state == MemberState::Ready);
+        let ready = |s: &&Server| s.at.state == MemberState::Ready;
+        let ready = self.servers.iter().filter(ready);
         self.size = ready.map(|s| s.at.weight).sum();
         // A list that drops a cold server and names it again must not bring it a fresh budget.
         let cold = now - self.config.warm_up;
@@ -281,11 +284,10 @@
     }
 
     fn accept(&mut self, now: Time, request: &Request, out: &mut Vec<Action>) {
-        if !request.returned {
-            let (rate, since) = self.rate;
-            let decayed = rate * libm::exp((since - now) / RATE_SPAN);
-            self.rate = (decayed + 1.0 / RATE_SPAN, now);
-        }
+        let (first, all, since) = self.rate;
+        let (kept, one) = (libm::exp((since - now) / RATE_SPAN), 1.0 / RATE_SPAN);
+        let first = first * kept + if request.returned { 0.0 } else { one };
+        self.rate = (first, all * kept + one, now);
         let live = Live::new(now, request, Phase::Held, self.mean_load());
         self.live.insert(request.id, live);
         self.attempt(now, request.id, out);
@@ -309,8 +311,8 @@
         self.config.cold_from + (1.0 - self.config.cold_from) * age.max(0.0)
     }
 
-    /// Attempts that a cold server may be sent by now: this node's part of the budget, from a random part of
-    /// one on, or small parts never add up. What is not used in time is lost: saved up, it comes in one wave.
+    /// Attempts that a cold server may be sent by now: this node's part of the budget. What is not used in
+    /// time is lost: saved up, it comes in one wave.
     fn budget(&self, now: Time, server: &Server, warmth: f64) -> f64 {
         let (tokens, since) = server.tokens;
         // This node's part of what fills the server over a warm-up.
@@ -369,7 +371,7 @@
                 () if shut && server.failures > 0 => f64::INFINITY,
                 () if shut => server.level,
                 // What a cold server may be sent is its budget's to say: a part that is due goes first.
-                () if warmth < 1.0 => DUE,
+                () if warmth < 1.0 && self.home(key, server) => DUE,
                 () => self.over(server, warmth).min(GUESSED),
             };
             // Where every server drowns or fails, hunting for room drowns them all: wait instead.
@@ -386,8 +388,16 @@
                 best = Some((level, score, server.at.id, weight, h));
             }
         }
-        let fits = |level| but.is_none() || level <= 0.0;
-        best.filter(|b| fits(b.0)).map(|b| b.2)
+        best.filter(|b| but.is_none() || b.0 <= 0.0).map(|b| b.2)
+    }
+
+    /// Whether a server will be among a key's first ones once it is warm.
+    fn home(&self, key: Key, server: &Server) -> bool {
+        let full = |s: &Server| score(key, s.at.id, s.at.weight);
+        let before = |s: &&Server| s.at.state == MemberState::Ready && full(s) > full(server);
+        // Who sees few requests before a part that is due is lost has no choice.
+        let share = (1.0 / (self.rate.1 * self.config.fall)).clamp(HOMES, 1.0);
+        (self.servers.iter().filter(before).count() as f64) < share * self.servers.len() as f64
     }
 
     /// Sends a request that is held to its next server, or gives its final answer.
@@ -500,11 +510,7 @@
             }
         }
         let usual = self.usual_setup;
-        let step = if took > usual {
-            USUAL_STEP
-        } else {
-            1.0 / USUAL_STEP
-        };
+        let step = USUAL_STEP.powi(if took > usual { 1 } else { -1 });
         self.usual_setup = if usual <= 0.0 { took } else { usual * step };
         self.setups = self.setups.saturating_add(1);
         let level = (took - usual) / self.busy_at;
@@ -616,10 +622,6 @@
             }
             server.shut_until = if level >= 1.0 { now + NOTE_LASTS } else { now };
         }
-        self.shed(now, id, level, out);
-    }
-
-    fn shed(&mut self, now: Time, id: ServerId, level: f64, out: &mut Vec<Action>) {
         let random = self.random();
         if level < 1.0 {
             return;
--- a/src/config.rs
+++ b/src/config.rs
@@ -11,6 +11,7 @@
 #[serde(rename_all = "camelCase", default)]
 pub struct Settings {
     balancers: Option<u32>,
+    my_number: Option<u32>,
     zone: Option<String>,
     classes: Option<Vec<RawClass>>,
     membership_mode: Option<String>,
@@ -285,6 +286,7 @@
             .map(|(i, class)| class_of(class, aim(i)));
         let config = Config {
             nodes: settings.balancers.unwrap_or(1),
+            number: settings.my_number.unwrap_or(0),
             zone: zone_of(settings.zone.as_deref()),
             classes: read.collect::<Result<_, _>>()?,
             discovery: match settings.membership_mode.as_deref() {
