Keep due parts for first servers where requests are many; use 0.85 of the fall budget

Seen: a node's part of a cold server lasts 2 s, so a node that sees little has no choice of whom to give it, one that sees much has; the share of first servers followed the arrivals by 1 over their number, which the rate of a node just restarted understates for 10 s. At fault: choice.rs, home(). Ruled out: the hung servers themselves (393 attempts of 1 s and about 105 standing connections of 4 s, under 2% of what is lost). Change: the share is 0.27 over the square of the arrivals, 0.2 at least; 0.85 of the budget (spaced parts leave chance less).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,12 +24,11 @@
 /// A server errs from this share of errors among its answers on; each answer weighs so much in it.
 const ERRING: f64 = 0.4;
 const ERROR_STEP: f64 = 0.25;
-/// Share of its connections that leaves a drowning server each second, and how much more where a node holds
-/// but one there: then many nodes hold none, hear nothing and go on sending.
+/// Share of a drowning server's connections that leaves each second; more where most nodes hold none there.
 const MOVE_RATE: f64 = 0.12;
 const MOVE_MORE: f64 = 2.5;
 /// Share of the fall budget that is used; the rest is for what other nodes misjudge.
-const COLD_SAFETY: f64 = 0.75;
+const COLD_SAFETY: f64 = 0.85;
 /// A node begins with a part of an attempt, or small parts never add up. Times its number, this spaces
 /// those of a fleet evenly: they fall due one after the other, not by chance together.
 const GOLDEN: f64 = 0.618_033_988_749_895;
@@ -41,7 +40,9 @@
 /// The level of a cold server whose budget allows an attempt: under any other. Only for keys that have it
 /// among this share of their first servers once it is warm: each group is paid for at each server.
 const DUE: f64 = -1.0;
-const HOMES: f64 = 0.15;
+const HOMES: f64 = 0.2;
+/// Who sees few requests until a due part is lost has less choice: the share is this over their square.
+const FEW: f64 = 0.27;
 /// What a connection is held to bring before any load is known.
 const UNKNOWN_LOAD: f64 = UNIT / 10.0;
 /// Arrivals are counted over about this many seconds.
@@ -246,10 +247,8 @@
 
     fn members(&mut self, now: Time, kind: ListKind, entries: &[Member]) {
         self.asks_failed = 0;
-        let forgotten = |_: &&mut Server| kind != ListKind::Delta;
-        for server in self.servers.iter_mut().filter(forgotten) {
-            server.at.state = MemberState::Gone;
-        }
+        let all = self.servers.iter_mut().filter(|_| kind != ListKind::Delta);
+        all.for_each(|server| server.at.state = MemberState::Gone);
         for entry in entries {
             let (mut at, usable) = (*entry, entry.weight.is_finite() && entry.weight > 0.0);
             at.started = at.started.min(now);
@@ -395,8 +394,8 @@
     fn home(&self, key: Key, server: &Server) -> bool {
         let full = |s: &Server| score(key, s.at.id, s.at.weight);
         let before = |s: &&Server| s.at.state == MemberState::Ready && full(s) > full(server);
-        // Who sees few requests before a part that is due is lost has no choice.
-        let share = (1.0 / (self.rate.1 * self.config.fall)).clamp(HOMES, 1.0);
+        let arrivals = self.rate.1 * self.config.fall;
+        let share = (FEW / (arrivals * arrivals)).clamp(HOMES, 1.0);
         (self.servers.iter().filter(before).count() as f64) < share * self.servers.len() as f64
     }
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -162,12 +162,12 @@
         }
     }
     let new = bears(&sent, &cold, 115.0, 1.0);
-    // Three quarters of three times what fills them over their warm-up, as warm as they are by then.
+    // 0.85 of three times what fills them over their warm-up, as warm as they are by then.
     let due: Time = cold
         .iter()
         .map(|s| {
             let age = 114.0 - s.started;
-            0.75 * bearable(age / 2.0) / 2.0 * age
+            0.85 * bearable(age / 2.0) / 2.0 * age
         })
         .sum();
     assert!(new as f64 > due / 2.0, "{new} at newcomers, {due} due");
