--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -70,9 +70,7 @@
 
     /// The next connection, and the first line on it.
     pub fn accept(&self) -> (Peer, String) {
-        let mut peer = Peer::new(self.listener.accept().expect("a connection").0);
-        let line = peer.line();
-        (peer, line)
+        next_of(&[self])
     }
 
     /// Whether nobody connects for a while.
