Take a server's own rank once, not again for each of its rivals

Need: read over in the change: choice.rs, home(), counted the servers before one by computing that one's own score anew for each of them, a logarithm for each of 90 servers on the path of every placement with a due part. Change: it is computed once. The decisions are the same.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -393,7 +393,8 @@
     /// Whether a server will be among a key's first ones once it is warm.
     fn home(&self, key: Key, server: &Server) -> bool {
         let full = |s: &Server| score(key, s.at.id, s.at.weight);
-        let before = |s: &&Server| s.at.state == MemberState::Ready && full(s) > full(server);
+        let own = full(server);
+        let before = |s: &&Server| s.at.state == MemberState::Ready && full(s) > own;
         let arrivals = self.rate.1 * self.config.fall;
         let share = (FEW / (arrivals * arrivals)).clamp(HOMES, 1.0);
         (self.servers.iter().filter(before).count() as f64) < share * self.servers.len() as f64
