Name a story's folder by its whole address, so that no two stories share one

Seen: 1 of 9 full runs of the socket stories failed in a_backend_that_is_busy_or_broken_is_followed_by_the_next_one_only, its folder gone before the program started. At fault: tests/sockets/peers.rs, Folder::new(): named by process and port; each story has a loopback address of its own, so two may get one port, share a folder, and the first that ends removes it. Change: the name holds address and port.

--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -195,7 +195,7 @@
     }
 
     pub fn new(address: SocketAddr) -> Self {
-        let name = format!("spanspur-{}-{}", std::process::id(), address.port());
+        let name = format!("spanspur-{}-{address}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
         Self(folder, 256)
