Tell message times from loads by the settings and the mean load, not by fixed figures

The two kinds of LOAD lines were told apart by 800 and 2,500, fitted to one site's loads (mean 88,000) and aim (250 ms): at a site of a twentieth of that scale most loads were read as message times. The bounds are now a share of the mean of the loads seen and a multiple of the shortest aim; at this site they come out as before. The tests moved to a file; a new one reads one story at scales from 0.05 to 20 alike and fails with the fixed figures.

--- a/src/net/delay.rs
+++ b/src/net/delay.rs
@@ -8,6 +8,12 @@
 use spanspur::api::{Config, Event, ServerId, Time};
 use std::collections::HashMap;
 
+/// The shortest aim for a message, where the settings name one.
+fn shortest_aim(config: &Config) -> Option<Time> {
+    let aims = config.classes.iter().filter_map(|class| class.message_aim);
+    aims.reduce(f64::min)
+}
+
 /// While messages there take long, the module hears of it this often.
 const REPEAT: Time = 1.0;
 
@@ -25,9 +31,8 @@
 impl Delays {
     /// Takes the shortest aim for a message from the settings.
     pub fn new(config: &Config) -> Self {
-        let aims = config.classes.iter().filter_map(|class| class.message_aim);
         Self {
-            threshold: aims.fold(f64::INFINITY, f64::min) / 3.0,
+            threshold: shortest_aim(config).unwrap_or(f64::INFINITY) / 3.0,
             slow: HashMap::new(),
         }
     }
@@ -51,10 +56,13 @@
     }
 }
 
-/// A figure under this is no connection's load, however idle it is: it is a message time.
-const LEAST_LOAD: f64 = 800.0;
-/// A server with more milliseconds of work piled up than this has dropped its connections.
-const MOST_DELAY: f64 = 2_500.0;
+/// A figure under this share of the mean load is no connection's, however idle it is: it is a message time. An idle
+/// connection's load is a hundredth of the mean and more.
+const LEAST_LOAD: f64 = 0.009;
+/// A server whose messages take longer than so many of the shortest aims has dropped its connections.
+const MOST_DELAY: f64 = 10.0;
+/// The mean load is taken over about so many figures.
+const LOADS: f64 = 100.0;
 /// Between the two, a figure is a message time if it comes a second, or two, after another of the kind, give or
 /// take this: an idle connection's load is as small, but keeps no time.
 const SECOND: Time = 1.0;
@@ -74,7 +82,10 @@
 
 /// Tells the two kinds of figures apart.
 pub struct Reports {
-    tells_delay: bool,
+    /// The most milliseconds that a message time may be; none is where the settings name no such reports, or no aim.
+    most_delay: f64,
+    /// The mean of the loads, 0 before the first, and of how many.
+    usual: (f64, f64),
     /// When each backend last reported a message time, and when a figure that could be one; kept while another
     /// may follow, so that backends that have gone leave nothing.
     delays: HashMap<ServerId, Time>,
@@ -82,10 +93,12 @@
 }
 
 impl Reports {
-    /// Takes from the settings whether message times are reported at all.
+    /// Takes from the settings whether message times are reported at all, and how long they may be.
     pub fn new(config: &Config) -> Self {
+        let aim = shortest_aim(config).filter(|_| config.tells_delay);
         Self {
-            tells_delay: config.tells_delay,
+            most_delay: aim.map_or(0.0, |aim| MOST_DELAY * aim * 1000.0),
+            usual: (0.0, 0.0),
             delays: HashMap::new(),
             unclear: HashMap::new(),
         }
@@ -93,7 +106,10 @@
 
     /// Reads a figure of a connection there; `first` if it is the connection's first, which is its load.
     pub fn read(&mut self, now: Time, server: ServerId, figure: f64, first: bool) -> Report {
-        if !self.tells_delay || figure > MOST_DELAY || (first && figure >= LEAST_LOAD) {
+        let least = LEAST_LOAD * self.usual.0;
+        if figure > self.most_delay || (first && figure >= least) {
+            let (mean, count) = (self.usual.0, (self.usual.1 + 1.0).min(LOADS));
+            self.usual = (mean + (figure - mean) / count, count);
             return Report::Load(figure);
         }
         let may_follow = |_: &ServerId, at: &mut Time| now - *at <= SECONDS * SECOND + GIVE;
@@ -104,7 +120,7 @@
             (1.0..=SECONDS).contains(&seconds) && (now - at - seconds * SECOND).abs() <= GIVE
         };
         let goes_on = self.delays.get(&server).is_some_and(|at| in_time(*at));
-        if figure >= LEAST_LOAD && !goes_on {
+        if figure >= least && !goes_on {
             let last = self.unclear.insert(server, now);
             if !last.is_some_and(in_time) {
                 return Report::Unclear;
@@ -116,60 +132,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const SERVER: ServerId = ServerId(1);
-
-    fn read(figures: &[(Time, f64, bool)]) -> Vec<Report> {
-        let config = Config {
-            tells_delay: true,
-            ..Config::default()
-        };
-        let mut reports = Reports::new(&config);
-        let one = |f: &(Time, f64, bool)| reports.read(f.0, SERVER, f.1, f.2);
-        figures.iter().map(one).collect()
-    }
-
-    #[test]
-    fn a_message_time_that_grows_past_the_least_load_stays_one_by_its_time() {
-        let told = read(&[
-            (0.0, 60_000.0, true),
-            (0.5, 122.5, false),
-            (1.5, 900.0, false),
-            (2.5, 1_955.0, false),
-            (3.0, 48_000.0, false),
-            // An idle connection's load keeps no time.
-            (3.2, 1_400.0, false),
-            // Another connection there; the server's last word is a second old.
-            (3.5, 2_004.0, false),
-        ]);
-        let times: Vec<bool> = told.iter().map(|r| matches!(r, Report::Delay(_))).collect();
-        assert_eq!(
-            times,
-            [false, true, true, true, false, false, true],
-            "{told:?}"
-        );
-    }
-
-    #[test]
-    fn a_small_figure_alone_is_neither_and_a_second_later_it_is_a_message_time() {
-        let told = read(&[
-            (0.0, 3_600.0, true),
-            (9.0, 1_700.0, false),
-            (9.4, 1_650.0, false),
-        ]);
-        assert_eq!(
-            told,
-            [Report::Load(3_600.0), Report::Unclear, Report::Unclear]
-        );
-        let told = read(&[(9.0, 1_700.0, false), (10.01, 1_850.0, false)]);
-        assert_eq!(told, [Report::Unclear, Report::Delay(1.85)]);
-    }
-
-    #[test]
-    fn where_the_settings_name_no_message_times_all_figures_are_loads() {
-        let mut reports = Reports::new(&Config::default());
-        assert_eq!(reports.read(0.0, SERVER, 90.0, false), Report::Load(90.0));
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/delay/tests.rs
@@ -0,0 +1,91 @@
+//! What a figure on a connection is taken for.
+
+use super::*;
+use spanspur::api::Class;
+
+const SERVER: ServerId = ServerId(1);
+
+fn read(figures: &[(Time, f64, bool)]) -> Vec<Report> {
+    read_at(1.0, figures)
+}
+
+/// At a site of another scale: its aim and all its loads are so many times the usual ones.
+fn read_at(scale: f64, figures: &[(Time, f64, bool)]) -> Vec<Report> {
+    let class = Class {
+        message_aim: Some(0.25 * scale),
+        ..Class::default()
+    };
+    let config = Config {
+        tells_delay: true,
+        classes: vec![class],
+        ..Config::default()
+    };
+    let mut reports = Reports::new(&config);
+    let one = |f: &(Time, f64, bool)| reports.read(f.0, SERVER, f.1 * scale, f.2);
+    figures.iter().map(one).collect()
+}
+
+#[test]
+fn a_message_time_that_grows_past_the_least_load_stays_one_by_its_time() {
+    let told = read(&[
+        (0.0, 60_000.0, true),
+        (0.5, 122.5, false),
+        (1.5, 900.0, false),
+        (2.5, 1_955.0, false),
+        (3.0, 48_000.0, false),
+        // An idle connection's load keeps no time.
+        (3.2, 1_400.0, false),
+        // Another connection there; the server's last word is a second old.
+        (3.5, 2_004.0, false),
+    ]);
+    let times: Vec<bool> = told.iter().map(|r| matches!(r, Report::Delay(_))).collect();
+    assert_eq!(
+        times,
+        [false, true, true, true, false, false, true],
+        "{told:?}"
+    );
+}
+
+#[test]
+fn a_small_figure_alone_is_neither_and_a_second_later_it_is_a_message_time() {
+    let told = read(&[
+        (0.0, 3_600.0, true),
+        (9.0, 1_700.0, false),
+        (9.4, 1_650.0, false),
+    ]);
+    assert_eq!(
+        told,
+        [Report::Load(3_600.0), Report::Unclear, Report::Unclear]
+    );
+    let told = read(&[(9.0, 1_700.0, false), (10.01, 1_850.0, false)]);
+    assert_eq!(told, [Report::Unclear, Report::Delay(1.85)]);
+}
+
+#[test]
+fn where_the_settings_name_no_message_times_all_figures_are_loads() {
+    let mut reports = Reports::new(&Config::default());
+    assert_eq!(reports.read(0.0, SERVER, 90.0, false), Report::Load(90.0));
+}
+
+#[test]
+fn a_site_of_another_scale_is_read_alike() {
+    let figures = [
+        (0.0, 60_000.0, true),
+        (0.5, 122.5, false),
+        (1.5, 900.0, false),
+        (2.5, 1_955.0, false),
+        (3.0, 48_000.0, false),
+        (3.2, 1_400.0, false),
+        (3.5, 2_004.0, false),
+        (3.6, 2_600.0, false),
+    ];
+    let kinds = |scale| {
+        let told = read_at(scale, &figures);
+        let kind = |report: &Report| std::mem::discriminant(report);
+        told.iter().map(kind).collect::<Vec<_>>()
+    };
+    let wanted = kinds(1.0);
+    for scale in [0.05, 0.4, 3.0, 20.0] {
+        assert_eq!(kinds(scale), wanted, "{scale}");
+    }
+}
