--- a/src/main.rs
+++ b/src/main.rs
@@ -152,7 +152,10 @@
                         let reader = req::Reader::new(&host);
                         drop(spawn_local(req::serve(host.clone(), client, place, reader)));
                     }
-                    None => req::turn_away(&client),
+                    None => {
+                        let host = host.clone();
+                        spawn_local(async move { req::turn_away(&host, &client).await });
+                    }
                 }
                 // In a crowd, those that give way for the next have to be gone before it is accepted.
                 tokio::task::yield_now().await;
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -1,5 +1,6 @@
 //! The director: discovery's list, watched call by call on one kept-alive connection.
 
+use super::check;
 use super::duties::ListNews;
 use super::host::Host;
 use super::http::{Connection, Response};
@@ -25,8 +26,11 @@
 const CONNECT: Duration = Duration::from_secs(1);
 /// A discovery that answers at once each time must not keep us busy; far under the 200 ms that end a watch.
 const PAUSE: Duration = Duration::from_millis(10);
+/// Where lists are pushed, what the agent has counts as told whether it is watched or not: it is asked again so soon.
+const AGENT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Watches whenever the module asks for it, until the watch fails; when to try again is the module's choice.
+/// Watches whenever the module asks for it, until the watch fails; when to try again is the module's choice. Where lists
+/// are pushed the module never asks: the agent, which pushes to whoever watches, is watched all the time.
 pub async fn run(
     host: Rc<Host>,
     mut discovery: watch::Receiver<SocketAddr>,
@@ -35,7 +39,9 @@
 ) {
     let mut at = *discovery.borrow_and_update();
     loop {
-        host.watch.notified().await;
+        if !host.pushed() {
+            host.watch.notified().await;
+        }
         loop {
             // Another discovery counts its versions as it likes: it is asked for everything first.
             let place = *discovery.borrow_and_update();
@@ -52,6 +58,10 @@
                 }
                 what = follow(&host, at, &mut listed, news.as_deref()) => {
                     tracing::info!(what, discovery = %at, "the watch on discovery ends");
+                    if host.pushed() {
+                        sleep(AGENT_PAUSE).await;
+                        continue;
+                    }
                     host.event(Event::ListFailed);
                     break;
                 }
@@ -87,9 +97,12 @@
     loop {
         let (path, wait) = match listed {
             Some(revision) => {
-                let wait = WAIT.as_millis();
-                let path = format!("/api/targets?since={revision}&timeout_ms={wait}");
-                (path, WAIT)
+                // What an agent has counts from our first moment on: its first answer is not waited for.
+                let now = host.pushed() && !host.heard.get();
+                let wait = if now { Duration::ZERO } else { WAIT };
+                let ms = wait.as_millis();
+                let path = format!("/api/targets?since={revision}&timeout_ms={ms}");
+                (path, wait)
             }
             None => ("/api/targets".to_owned(), Duration::ZERO),
         };
@@ -101,7 +114,7 @@
                 200 => List::parse(&answer.body),
                 status => Err(format!("status {status}")),
             });
-        let list = match list {
+        let list = match list.and_then(|list| plausible(host, list, listed)) {
             Ok(list) => list,
             Err(what) => return what,
         };
@@ -112,6 +125,7 @@
             "a list"
         );
         *listed = Some(list.revision);
+        host.heard.set(true);
         let kind = if list.complete {
             ListKind::Full
         } else {
@@ -126,9 +140,24 @@
     }
 }
 
+/// A list that goes back, or leaves nobody, may be a fault of discovery's: the last good one stands, and the whole list
+/// is asked for. What comes then is believed.
+fn plausible(host: &Host, list: List, listed: &mut Option<u64>) -> Result<List, String> {
+    let nobody = list.complete && list.members.is_empty();
+    let odd = match *listed {
+        None if !list.complete => "changes where the whole list was asked for",
+        Some(last) if list.revision < last => "a list older than the last one",
+        Some(_) if nobody && host.ready() => "a list that names nobody",
+        _ => return Ok(list),
+    };
+    check::count("a list from discovery is not plausible");
+    *listed = None;
+    Err(odd.to_owned())
+}
+
 /// One call, on the kept connection if there is one.
 async fn call(kept: &mut Option<Connection>, at: SocketAddr, path: &str) -> io::Result<Response> {
-    let mut connection = match kept.take() {
+    let mut connection = match kept.take().filter(Connection::quiet) {
         Some(connection) => connection,
         None => timeout(CONNECT, Connection::open(at)).await??,
     };
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -3,7 +3,7 @@
 use super::check;
 use super::host::{Host, Order, duration};
 use super::service::Service;
-use spanspur::api::RequestId;
+use spanspur::api::{Event, RequestId};
 use spanspur_service::pace::Pace;
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -20,8 +20,12 @@
 /// Before that, the last answers are given and written.
 const ANSWER_BEFORE: Duration = Duration::from_millis(450);
 const EXIT_BEFORE: Duration = Duration::from_millis(250);
+/// Who has its answer gets this long to end its side: an exit over unread bytes resets the connection.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 /// How often the rest is looked at.
 const TICK: Duration = Duration::from_millis(20);
+/// Nothing is left once so many looks in a row have found nothing: a client may wait to be accepted at the first.
+const EMPTY_LOOKS: u32 = 2;
 
 /// Moves what stands, each connection once, at a pace.
 pub struct Mover {
@@ -64,6 +68,7 @@
     let mut mover = Mover::new(host.clone(), Pace { from, until });
     let mut left = 0;
     let mut offered = HashSet::new();
+    let mut empty = 0;
     while Instant::now() < kill - EXIT_BEFORE {
         sleep(TICK).await;
         let now = Instant::now();
@@ -81,15 +86,22 @@
         }
         let waiting = host.reqs(false);
         // One that has not said yet what it wants may take its time, and is owed an answer then.
-        if host.reqs(true).is_empty() && waiting.is_empty() && host.reading.get() == 0 {
+        let none = host.reqs(true).is_empty() && waiting.is_empty() && host.reading.get() == 0;
+        empty = if none { empty + 1 } else { 0 };
+        if empty >= EMPTY_LOOKS {
             break;
         }
         if now >= kill - ANSWER_BEFORE {
-            waiting
-                .into_iter()
-                .for_each(|id| host.order(id, Order::Refuse(0)));
+            // Refused or failed, by what may have run: the module knows.
+            let leave = |id| host.event(Event::Leave(id));
+            waiting.into_iter().for_each(leave);
+            host.ending.send_replace(true);
         }
     }
+    let end = (Instant::now() + LAST_WORDS).min(kill - EXIT_BEFORE / 2);
+    while host.answering.get() > 0 && Instant::now() < end {
+        sleep(TICK).await;
+    }
     if left > 0 {
         check::count("connections that stood at the exit");
     }
--- a/src/net/fetch.rs
+++ b/src/net/fetch.rs
@@ -26,14 +26,15 @@
     Again,
 }
 
-/// Tries a backend until `until`. `first` writes the first line, given the milliseconds that are left. The
-/// connection is closed by the time an error comes back, so that the next attempt is the only one out.
+/// Tries a backend until `until`. `first` writes the first line, given the milliseconds that are left, unless there is
+/// nobody left to send it for. The connection is closed by the time an error comes back, so that the next attempt is the
+/// only one out.
 pub async fn fetch(
     host: &Host,
     server: ServerId,
     kind: Kind,
     until: Time,
-    first: impl Fn(u64) -> String,
+    first: impl Fn(u64) -> Option<String>,
 ) -> Result<Backend, Outcome> {
     let Some(address) = host.address(server) else {
         return Err(Outcome::Moot);
@@ -50,7 +51,9 @@
     if left < Duration::from_millis(1) || (kind == Kind::New && !host.takes_new(server)) {
         return Err(Outcome::Moot);
     }
-    let line = first(left.as_millis() as u64);
+    let Some(line) = first(left.as_millis() as u64) else {
+        return Err(Outcome::Moot);
+    };
     if stream.set_nodelay(true).is_err() || stream.write_all(line.as_bytes()).await.is_err() {
         return Err(Outcome::ConnectFailed);
     }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -18,6 +18,9 @@
 use std::time::{Duration, Instant, SystemTime};
 use tokio::sync::{Notify, mpsc, watch};
 
+/// An agent that has said nothing for so long is not waited for: the list as last known is all there is.
+const AGENT: Duration = Duration::from_secs(1);
+
 /// What a req is to do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Order {
@@ -68,6 +71,8 @@
     pub watch: Notify,
     /// The list of servers has changed.
     pub listed: Notify,
+    /// Discovery has answered this process.
+    pub heard: Cell<bool>,
     /// The process is told to stop.
     pub leaving: Cell<bool>,
     /// The staff empties this balancer: the front is told no.
@@ -78,6 +83,10 @@
     pub accepting: watch::Sender<bool>,
     /// Clients that have not said yet what they want.
     pub reading: Cell<usize>,
+    /// Clients that are being told their answer, and have not ended their side yet.
+    pub answering: Cell<usize>,
+    /// The process is about to exit: who has not said yet what it wants is answered now.
+    pub ending: watch::Sender<bool>,
     /// The descriptors that clients hold here.
     pub room: Rc<Room>,
     /// Those of another process of this balancer.
@@ -123,11 +132,14 @@
             anchor: (Instant::now(), unix.unwrap_or_default().as_secs_f64()),
             watch: Notify::new(),
             listed: Notify::new(),
+            heard: Cell::new(false),
             leaving: Cell::new(false),
             lameduck: watch::Sender::new(false),
             told_lameduck: Cell::new(false),
             accepting: watch::Sender::new(true),
             reading: Cell::new(0),
+            answering: Cell::new(0),
+            ending: watch::Sender::new(false),
             room: Rc::default(),
             others: Cell::new(0),
             handed: Cell::new(false),
@@ -338,9 +350,15 @@
             .is_some_and(|at| at.seen.state == MemberState::Ready)
     }
 
-    /// Any backend is known: requests can be decided.
+    /// Lists are pushed: what the agent has counts as told, from the first moment of this process on.
+    pub fn pushed(&self) -> bool {
+        self.node().config.discovery == Discovery::Push
+    }
+
+    /// Any backend is known: requests can be decided. Where lists are pushed, the agent is heard first, if it speaks.
     pub fn ready(&self) -> bool {
-        !self.state.borrow().listed.is_empty()
+        let heard = self.heard.get() || !self.pushed() || self.anchor.0.elapsed() >= AGENT;
+        heard && !self.state.borrow().listed.is_empty()
     }
 
     /// Opens an inbox; `None` if there is a live req with this id.
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -41,6 +41,13 @@
         })
     }
 
+    /// Nothing is there that nobody asked for: neither an answer that came twice nor the end.
+    pub fn quiet(&self) -> bool {
+        let nothing = self.stream.get_ref().try_read(&mut [0]);
+        self.stream.buffer().is_empty()
+            && nothing.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Sends a GET and reads the answer.
     pub async fn get(&mut self, path: &str) -> io::Result<Response> {
         let host = self.host;
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::yield_now;
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// A backend that has left a line unanswered for so long is gone without a sign. Clients send a line every 2 s
@@ -248,6 +249,10 @@
         tokio::select! {
             biased;
             order = orders.recv() => match order {
+                // Its backend has said its last word, or has ended, maybe in the middle of a line: that goes on in kind.
+                Some(Order::Move) if relay.last_word.is_some() || down.ended => {
+                    linger.get_or_insert_with(|| Instant::now() + LINGER);
+                }
                 Some(Order::Move) if !relay.told => {
                     relay.over(Outcome::Cancelled);
                     leave(&mut down, &backend, &mut linger);
@@ -349,7 +354,8 @@
         // Large, for whoever sends on and on, and not kept while waiting.
         match stream.try_read(&mut [0; 16 * 1024]) {
             Ok(0) => return,
-            Ok(_) => {}
+            // Who sends on and on does not keep the others waiting.
+            Ok(_) => yield_now().await,
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
             Err(_) => return,
         }
--- a/src/net/req.rs
+++ b/src/net/req.rs
@@ -3,20 +3,23 @@
 use super::check;
 use super::fetch::{Backend, Kind, fetch};
 use super::host::{Host, Order, Ticket};
-use super::line::{Lines, Opening};
-use super::relay::{Stands, relay, resume, say_last};
+use super::line::{Lines, MAX_LINE, Opening};
+use super::relay::{Stands, discard, relay, resume, say_last};
 use super::room::Place;
 use super::service::handover::{self, Handed};
 use socket2::SockRef;
 use spanspur::api::{Ended, Event, Outcome, Request, ServerId, Time};
+use std::cell::Cell;
 use std::io::ErrorKind;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
 use std::os::fd::AsFd;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// A client says what it wants within this time from its coming, however it spreads its words: some take 2 s, and
 /// who says nothing has to be gone after 3 s.
@@ -33,6 +36,8 @@
 const REOPEN: Time = 40.0;
 /// A server that the list does not name by then is not coming.
 const UNLISTED: Time = 1.0;
+/// What a client that is turned away may still say is read for so long.
+const LAST_WORDS: Duration = Duration::from_millis(250);
 /// Without a time to come again.
 const BUSY: &str = "BUSY\r\n";
 
@@ -41,10 +46,14 @@
     // Lines are short and waited for: none is held back for more to come.
     let _ = client.set_nodelay(true);
     let mut keep = false;
+    let mut ending = host.ending.subscribe();
     let first = loop {
         tokio::select! {
+            biased;
             first = reader.first_line(&host, &client) => break first,
-            () = place.evicted() => return turn_away(&client),
+            () = place.evicted() => return turn_away(&host, &client).await,
+            // Its first line may be on its way just now: it is answered before it is read.
+            Ok(_) = ending.wait_for(|ending| *ending) => break First::Late,
             giving = handover::giving(&host), if !keep => {
                 let left = (reader.end - Instant::now()).as_secs_f64();
                 let handed = Handed::Reading(reader.lines.read(), left);
@@ -55,16 +64,23 @@
             }
         }
     };
+    let asked = reader.counted.is_none();
     drop(reader);
     let opened = match first {
-        None => return,
-        Some(Ok(opening)) => {
+        First::Left => return,
+        // A front that hears BUSY would send nobody here: it asks again elsewhere than on a connection that ends.
+        First::Late if asked => Opened::Answer(String::new()),
+        First::Late => {
+            check::count("a client says nothing in its time");
+            refused(0)
+        }
+        First::Opening(opening) => {
             if !place.serve(host.sockets()) {
-                return turn_away(&client);
+                return turn_away(&host, &client).await;
             }
-            open(&host, &client, opening).await
+            open(&host, &client, *opening).await
         }
-        Some(Err(what)) => unread(what),
+        First::Unread(what) => unread(what),
     };
     let answer = match opened {
         Opened::Left => return,
@@ -76,28 +92,42 @@
     };
     // What is left is the client's to end.
     place.idle();
+    let _owed = Counted::new(&host, |host| &host.answering);
     tokio::select! {
         () = say_last(&client, answer.as_bytes()) => {}
         () = place.evicted() => {}
     }
 }
 
-/// One that has not said yet what it wants: who leaves waits for it.
-struct Reading(Rc<Host>);
+/// One that is owed something: who leaves waits for it.
+struct Counted(Rc<Host>, fn(&Host) -> &Cell<usize>);
 
-impl Reading {
-    fn new(host: &Rc<Host>) -> Self {
-        host.reading.set(host.reading.get() + 1);
-        Self(host.clone())
+impl Counted {
+    fn new(host: &Rc<Host>, counter: fn(&Host) -> &Cell<usize>) -> Self {
+        counter(host).set(counter(host).get() + 1);
+        Self(host.clone(), counter)
     }
 }
 
-impl Drop for Reading {
+impl Drop for Counted {
     fn drop(&mut self) {
-        self.0.reading.set(self.0.reading.get() - 1);
+        let counter = (self.1)(&self.0);
+        counter.set(counter.get() - 1);
     }
 }
 
+/// What comes before a request.
+enum First {
+    /// A line that asks for a connection.
+    Opening(Box<Opening>),
+    /// Something else.
+    Unread(&'static str),
+    /// Too little in its time.
+    Late,
+    /// The client has gone.
+    Left,
+}
+
 /// Goes on with a connection that stood at another process of this balancer.
 pub async fn go_on(
     host: Rc<Host>,
@@ -145,17 +175,35 @@
     failed()
 }
 
-/// Turns a client away for want of room, and is done with it at once.
-pub fn turn_away(client: &TcpStream) {
+/// Turns a client away for want of room. Closing over unread bytes would reset the connection and could take the
+/// answer with it: what it has said is read, and of what it says at this instant as much as room is left to wait for.
+pub async fn turn_away(host: &Host, client: &TcpStream) {
     check::count("a client is turned away for want of descriptors");
+    let _ = client.set_nodelay(true);
     let _ = SockRef::from(client).send(BUSY.as_bytes());
+    let _ = SockRef::from(client).shutdown(Shutdown::Write);
+    let Some(_place) = host.room.linger() else {
+        // Not waited for, only read: the spare descriptors are taken.
+        while client.try_read(&mut [0; MAX_LINE]).is_ok_and(|n| n > 0) {}
+        return;
+    };
+    let _ = timeout(LAST_WORDS, discard(client)).await;
+}
+
+/// Whether the client has ended or broken its side, seen past what the runtime knows: nothing is sent for one that
+/// has gone.
+fn has_left(client: &TcpStream) -> bool {
+    match SockRef::from(client).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(said) => said == 0,
+        Err(e) => e.kind() != ErrorKind::WouldBlock,
+    }
 }
 
 /// What a client has said so far, before it has asked for a connection.
 pub struct Reader {
     lines: Lines,
     end: Instant,
-    counted: Option<Reading>,
+    counted: Option<Counted>,
 }
 
 impl Reader {
@@ -169,30 +217,29 @@
         Self {
             lines: Lines::from(said),
             end: Instant::now() + left,
-            counted: Some(Reading::new(host)),
+            counted: Some(Counted::new(host, |host| &host.reading)),
         }
     }
 
-    /// The first line that asks for a connection; `None` if the client ends, or says too little in its time. All
-    /// that a client sends before its answer has to be one line: who sends more does not speak this protocol. Safe
-    /// to drop halfway.
-    async fn first_line(
-        &mut self,
-        host: &Rc<Host>,
-        client: &TcpStream,
-    ) -> Option<Result<Opening, &'static str>> {
+    /// The first line that asks for a connection. All that a client sends before its answer has to be one line: who
+    /// sends more does not speak this protocol. Safe to drop halfway.
+    async fn first_line(&mut self, host: &Rc<Host>, client: &TcpStream) -> First {
         loop {
             let line = match timeout_at(self.end, self.lines.next(client)).await {
                 Ok(Ok(Some(line))) if self.lines.is_empty() => line,
-                Ok(Ok(Some(_))) => return Some(Err("more than one line")),
+                Ok(Ok(Some(_))) => return First::Unread("more than one line"),
                 Ok(Err(e)) if e.kind() == ErrorKind::Other => {
-                    return Some(Err("not a line of text"));
+                    return First::Unread("not a line of text");
                 }
-                _ => return None,
+                Ok(_) => return First::Left,
+                Err(_) => return First::Late,
             };
             if line != "PING" {
                 let node = host.node();
-                return Some(Opening::parse(&line, &node.classes, node.groups));
+                return match Opening::parse(&line, &node.classes, node.groups) {
+                    Ok(opening) => First::Opening(Box::new(opening)),
+                    Err(what) => First::Unread(what),
+                };
             }
             // The front sends clients from the answer on, so it has to wait until a server is known.
             while !host.ready() && !*host.lameduck.borrow() {
@@ -202,7 +249,9 @@
                 true => BUSY,
                 false => "PONG\r\n",
             };
-            client.try_write(answer.as_bytes()).ok()?;
+            if client.try_write(answer.as_bytes()).is_err() {
+                return First::Left;
+            }
             // The front is nobody who waits for an answer of ours.
             self.counted.take();
             self.end = Instant::now() + FRONT;
@@ -248,12 +297,14 @@
     // Nothing here waits past the deadline; if something does, the client is still owed its answer.
     let mut overdue = pin!(sleep_until(host.instant(due + MARGIN)));
     loop {
+        // Who has gone comes first: no attempt begins for it.
         let order = tokio::select! {
-            order = orders.recv() => order,
+            biased;
             early = speaks(client) => {
                 host.event(Event::Gone(id));
                 return early;
             }
+            order = orders.recv() => order,
             () = &mut overdue => {
                 check::holds(false, "the module answers before the deadline");
                 host.event(Event::Gone(id));
@@ -268,21 +319,25 @@
             Some(Order::Cancel(_) | Order::Move | Order::Give) => continue,
             None => return Opened::Left,
         };
+        let line = |ms| (!has_left(client)).then(|| opening.for_backend(ms));
         // Leaving this select closes the attempt's connection, whatever it was doing.
         let ended = tokio::select! {
-            ended = fetch(host, server, Kind::New, until.min(due), |ms| opening.for_backend(ms)) => ended,
+            biased;
             early = speaks(client) => {
                 host.event(Event::Gone(id));
                 return early;
             }
             order = called_off(&mut orders, attempt) => match order {
-                Some(Order::Refuse(ms)) => {
-                    host.event(Event::Gone(id));
-                    return refused(ms);
-                }
+                Some(Order::Refuse(ms)) => return refused(ms),
+                Some(Order::Fail) => return failed(),
                 _ => Err(Outcome::Cancelled),
             },
+            ended = fetch(host, server, Kind::New, until.min(due), line) => ended,
         };
+        if ended.is_err() && has_left(client) {
+            host.event(Event::Gone(id));
+            return Opened::Left;
+        }
         match ended {
             Ok(backend) => {
                 tracing::debug!(req = %id, server = %server, attempt, "stands");
@@ -334,11 +389,14 @@
     let due = opening.request.due;
     let listed_by = host.now() + UNLISTED;
     loop {
-        let outcome =
-            match fetch(host, server, Kind::Again, due, |ms| opening.for_backend(ms)).await {
-                Ok(backend) => return Some(backend),
-                Err(outcome) => outcome,
-            };
+        let outcome = match fetch(host, server, Kind::Again, due, |ms| {
+            Some(opening.for_backend(ms))
+        })
+        .await
+        {
+            Ok(backend) => return Some(backend),
+            Err(outcome) => outcome,
+        };
         tracing::warn!(
             req = %opening.request.id,
             server = %server,
--- a/src/net/room.rs
+++ b/src/net/room.rs
@@ -7,7 +7,9 @@
 use tokio::sync::oneshot;
 
 /// Descriptors kept for what is not a client's or its backend's, and for those that are being closed.
-const SPARE: usize = 32;
+const SPARE: usize = 40;
+/// Of these, clients that are turned away and may still speak.
+const LINGERING: usize = 8;
 /// What a client takes that waits for nothing but its own words or its end.
 const IDLE: usize = 1;
 /// What a client takes that is served: its own descriptor and its backend's.
@@ -17,10 +19,20 @@
 #[derive(Default)]
 pub struct Room {
     held: Cell<usize>,
+    lingering: Cell<usize>,
     /// One for each client that may be sent away; those whose other end is gone are out of date.
     idle: RefCell<VecDeque<oneshot::Sender<()>>>,
 }
 
+/// A spare descriptor, until it is dropped.
+pub struct Lingering<'a>(&'a Cell<usize>);
+
+impl Drop for Lingering<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A client's part of the room, until it is dropped.
 pub struct Place {
     room: Rc<Room>,
@@ -35,6 +47,15 @@
         self.enter_of(sockets.saturating_sub(SPARE).max(SERVED))
     }
 
+    /// A spare descriptor for one that is turned away; `None` where too many of them are taken.
+    pub fn linger(&self) -> Option<Lingering<'_>> {
+        let lingering = &self.lingering;
+        (lingering.get() < LINGERING).then(|| {
+            lingering.set(lingering.get() + 1);
+            Lingering(lingering)
+        })
+    }
+
     /// The descriptors that are held.
     pub fn held(&self) -> usize {
         self.held.get()
--- /dev/null
+++ b/tests/sockets/endings.rs
@@ -0,0 +1,374 @@
+//! What is still owed at the instant in which something ends: each crossing is forced by a scripted peer.
+//! `docs/design/endings.md` tables them.
+
+use crate::peers::*;
+use socket2::{Domain, Socket, Type};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A class of which no second attempt may run.
+const ONCE: (&str, &str) = (r#""semantics":"free""#, r#""semantics":"single_shot""#);
+/// Its clients wait longer than a process that leaves may.
+const PATIENT: (&str, &str) = (r#""hardLimit":2.0"#, r#""hardLimit":9.0"#);
+
+fn no_discovery() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("a port")
+}
+
+/// Whether a client is answered as failed, refused, or not at all.
+fn answer(client: &mut Peer) -> String {
+    let answer = client.line();
+    let word = answer.split([' ', '\r']).next();
+    word.unwrap_or("").to_owned()
+}
+
+#[test]
+fn a_resting_client_hears_busy_at_its_end_and_a_request_read_after_that_is_not_sent_on() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let mut rests = balancer.connect();
+    assert_eq!(
+        (answer(&mut rests), rests.line()),
+        ("BUSY".into(), String::new())
+    );
+    // Its first line crosses the end of the connection: the balancer has shut its side by now.
+    rests.say("OPEN 00000000000000a1 7f3a c=live,d=2000\r\n");
+    assert!(backend.is_left_alone(Duration::from_millis(300)));
+    // The connection was read to its end: nothing was left over that would have reset it.
+    assert!(rests.stream().write(b"x").is_ok());
+}
+
+#[test]
+fn a_front_that_asked_is_not_told_no_when_its_connection_ends() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let mut front = balancer.connect();
+    front.say("PING\r\n");
+    assert_eq!(
+        (front.line(), front.line()),
+        ("PONG\r\n".into(), String::new())
+    );
+}
+
+#[test]
+fn an_exit_answers_who_rests_and_who_waits_by_what_may_have_run() {
+    let backend = Backend::new("s-1");
+    // A single attempt has all the time of its client.
+    let one = (r#""maxAttempts":3"#, r#""maxAttempts":1"#);
+    for (other, wanted) in [
+        (vec![PATIENT, one], "BUSY"),
+        (vec![PATIENT, one, ONCE], "ERR"),
+    ] {
+        let entry = [backend.entry("SERVING")];
+        let balancer = Balancer::start_as(no_discovery(), &entry, &other);
+        // The backend has the request and says nothing: it may run yet.
+        let mut waits = balancer.open(0xb1, 8000);
+        let (_server, _) = backend.accept();
+        balancer.signal("-TERM");
+        // Comes late and rests: its own time is not over when the process has to go.
+        std::thread::sleep(Duration::from_millis(1500));
+        let mut rests = balancer.connect();
+        assert_eq!(answer(&mut waits), wanted);
+        assert_eq!(answer(&mut rests), "BUSY");
+        assert_eq!((waits.line(), rests.line()), (String::new(), String::new()));
+        drop((waits, rests));
+        assert_eq!(balancer.exit(), Some(0));
+    }
+}
+
+#[test]
+fn one_that_comes_in_the_last_instant_before_an_exit_is_served() {
+    let (discovery, backend) = (Discovery::new(), obliging("s-1"));
+    for n in 0..8 {
+        let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+        balancer.signal("-TERM");
+        // Its looks for what is left fall due while it is stopped: they and the client come at once.
+        std::thread::sleep(Duration::from_millis(400));
+        let mut late = balancer.at_once(|| {
+            std::thread::sleep(Duration::from_millis(100));
+            balancer.open(0xc0 + n, 600)
+        });
+        assert_eq!(late.line(), "UP r1\r\n", "round {n}");
+        assert_eq!(late.line(), "MOVE\r\n", "round {n}");
+        drop(late);
+        assert_eq!(balancer.exit(), Some(0));
+    }
+}
+
+#[test]
+fn no_further_attempt_begins_for_a_client_that_left_as_the_one_before_ended() {
+    let (discovery, one, two) = (Discovery::new(), Backend::new("s-1"), Backend::new("s-2"));
+    let fleet = [one.entry("SERVING"), two.entry("SERVING")];
+    let balancer = Balancer::start(&discovery, &fleet);
+    for n in 0..20 {
+        let client = balancer.open(0xd00 + n, 2000);
+        let (mut server, _) = next_of(&[&one, &two]);
+        balancer.at_once(|| {
+            server.say("BUSY\r\n");
+            drop(client);
+        });
+        // Let go, whichever way, and nobody else asked.
+        assert!(["", "reset"].contains(&server.line().as_str()));
+        for backend in [&one, &two] {
+            assert!(
+                backend.hears_no_line(Duration::from_millis(60)),
+                "round {n}"
+            );
+        }
+    }
+}
+
+/// Connections that fill a listener's queue, so that the next one does not come up until they are accepted.
+fn full(backend: &Socket, at: SocketAddr) -> Vec<TcpStream> {
+    backend.listen(0).expect("listens");
+    vec![TcpStream::connect(at).expect("queued")]
+}
+
+/// Somebody on this machine is connecting there, and is not through.
+fn connecting(at: SocketAddr) -> bool {
+    let port = format!(":{:04X}", at.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    table.lines().any(|line| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        words.len() > 3 && words[2].ends_with(&port) && words[3] == "02"
+    })
+}
+
+#[test]
+fn an_attempt_that_connects_is_given_up_when_its_client_leaves() {
+    let slow = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    slow.bind(
+        &"127.0.0.1:0"
+            .parse::<SocketAddr>()
+            .expect("an address")
+            .into(),
+    )
+    .expect("a port");
+    let at = slow
+        .local_addr()
+        .expect("bound")
+        .as_socket()
+        .expect("an address");
+    let mut queue = full(&slow, at);
+    let entry = Backend::new("s-1").entry_at("SERVING", at);
+    let other = (r#""connectTimeout":0.25"#, r#""connectTimeout":4.0"#);
+    let balancer = Balancer::start_as(no_discovery(), &[entry], &[other]);
+    let client = balancer.open(0xe1, 2000);
+    wait_until(|| connecting(at));
+    let left = Instant::now();
+    drop(client);
+    wait_until(|| !connecting(at));
+    assert!(
+        left.elapsed() < Duration::from_millis(100),
+        "{:?}",
+        left.elapsed()
+    );
+    // The queue moves on: what the balancer had begun would come up by its own retransmission within 1 s.
+    let listener: TcpListener = slow.into();
+    drop(listener.accept().expect("the first of the queue"));
+    queue.clear();
+    listener.set_nonblocking(true).expect("settable");
+    let end = Instant::now() + Duration::from_millis(1500);
+    while Instant::now() < end {
+        if let Ok((mut late, _)) = listener.accept() {
+            late.set_nonblocking(false).expect("settable");
+            let mut said = String::new();
+            let _ = late.read_to_string(&mut said);
+            assert_eq!(said, "", "sent for a client that has left");
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn one_that_waits_for_room_and_leaves_is_never_sent_on() {
+    let backend = Backend::new("s-1");
+    let discovery = Backend::new("d-1");
+    let balancer = Balancer::begin_as(discovery.at(), &[backend.entry("DRAINING")], &[]);
+    let (mut watch, _) = discovery.call();
+    let client = balancer.open(0xf1, 2000);
+    // It waits: nobody may be asked. It leaves, and there is room, in the same instant.
+    balancer.wait_for_reqs(1);
+    balancer.at_once(|| {
+        drop(client);
+        watch.say(&http(&list(2, false, &[backend.entry("SERVING")])));
+    });
+    assert!(backend.hears_no_line(Duration::from_millis(500)));
+    // There was room: the next client is sent on.
+    let _next = balancer.open(0xf2, 2000);
+    assert!(backend.accept().1.starts_with("OPEN 00000000000000f2 "));
+}
+
+#[test]
+fn a_move_comes_between_whole_lines_and_never_after_a_last_word() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let (mut client, mut server) = balancer.standing(0x11, &backend);
+    let (mut served, mut server_of_it) = balancer.standing(0x12, &backend);
+    server.say("R 1\r\nHAL");
+    assert_eq!(client.line(), "R 1\r\n");
+    server_of_it.say("BYE\r\n");
+    assert_eq!(served.line(), "BYE\r\n");
+    // Half a line of the client's is not sent on either.
+    client.say("M 1\r\nM ");
+    assert_eq!(server.line(), "M 1\r\n");
+    balancer.signal("-TERM");
+    assert_eq!(
+        (client.line(), client.line()),
+        ("MOVE\r\n".into(), String::new())
+    );
+    assert_eq!(server.line(), "");
+    // Its backend has served it to its end: nothing of ours follows.
+    server_of_it
+        .stream()
+        .shutdown(Shutdown::Both)
+        .expect("open");
+    assert_eq!(rest(served), "");
+    drop(client);
+    assert_eq!(balancer.exit(), Some(0));
+}
+
+#[test]
+fn a_client_that_gives_way_with_words_unread_still_hears_its_answer() {
+    let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let mut crowd: Vec<Peer> = (0..200).map(|_| balancer.connect()).collect();
+    // All of it is there when the balancer looks: half a line of the first ones, and the crowd that they give way to.
+    let more: Vec<Peer> = balancer.at_once(|| {
+        crowd.iter_mut().for_each(|client| client.say("OPEN 0000"));
+        (0..100).map(|_| balancer.connect()).collect()
+    });
+    for client in &mut crowd[..60] {
+        assert_eq!(
+            (answer(client), client.line()),
+            ("BUSY".into(), String::new())
+        );
+    }
+    drop(more);
+}
+
+#[test]
+fn answers_cut_off_endless_doubled_or_garbled_never_reach_a_client() {
+    let endless = "U".repeat(9000);
+    let odd = [
+        "UP",
+        "UP r1",
+        "BUSY\r\nUP r1\r\n",
+        "ERR\r\nUP r1\r\n",
+        "\u{7}\r\nUP r1\r\n",
+        &endless,
+        "",
+    ];
+    for text in odd {
+        let (discovery, backend) = (Discovery::new(), Backend::new("s-1"));
+        let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+        let client = balancer.open(0x301, 700);
+        let (server, _) = backend.accept();
+        server.stream().write_all(text.as_bytes()).expect("sent");
+        // What has no end is given up at its length, the others at the end of the connection.
+        if text.len() < 9000 {
+            server.stream().shutdown(Shutdown::Both).expect("open");
+        }
+        let said = rest(client);
+        let answers = ["BUSY\r\n", "ERR\r\n"];
+        assert!(answers.contains(&said.as_str()), "{text:.20}: {said}");
+    }
+}
+
+#[test]
+fn floods_cost_their_own_connection_and_hold_nobody_up() {
+    let (discovery, backend) = (Discovery::new(), obliging("s-1"));
+    let balancer = Balancer::start(&discovery, &[backend.entry("SERVING")]);
+    let flood = vec![b'x'; 1 << 20];
+    let at = balancer.address();
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                let mut client = TcpStream::connect(at).expect("accepted");
+                client
+                    .set_read_timeout(Some(Duration::from_secs(6)))
+                    .expect("settable");
+                // 60 MB, or until the balancer has had enough.
+                let began = Instant::now();
+                for _ in 0..60 {
+                    if client.write_all(&flood).is_err() {
+                        break;
+                    }
+                }
+                let mut said = Vec::new();
+                let _ = client.read_to_end(&mut said);
+                assert!(said.is_empty() || said == b"ERR\r\n", "{said:?}");
+                assert!(
+                    began.elapsed() < Duration::from_secs(6),
+                    "{:?}",
+                    began.elapsed()
+                );
+            });
+        }
+        for n in 0..20 {
+            let asked = Instant::now();
+            let mut client = balancer.open(0x500 + n, 1000);
+            assert_eq!(client.line(), "UP r1\r\n");
+            assert!(
+                asked.elapsed() < Duration::from_millis(500),
+                "{:?}",
+                asked.elapsed()
+            );
+        }
+    });
+}
+
+#[test]
+fn idle_clients_leave_descriptors_for_discovery_attempts_and_the_staff() {
+    let (discovery, backend) = (Backend::new("d-1"), obliging("s-1"));
+    let balancer = Balancer::start_as(discovery.at(), &[backend.entry("SERVING")], &[]);
+    // Discovery is down: its call breaks, and so do those that follow while the crowd comes.
+    drop(discovery.call());
+    let crowd: Vec<Peer> = (0..400).map(|_| balancer.connect()).collect();
+    drop(discovery.call());
+    let (mut watch, call) = discovery.call();
+    assert!(call.contains("since=1&"), "{call}");
+    assert_eq!(balancer.call("/_ready", "").0, 200);
+    let standing: Vec<Peer> = (0..40)
+        .map(|n| {
+            let mut client = balancer.open(0x600 + n, 1000);
+            assert_eq!(client.line(), "UP r1\r\n");
+            client
+        })
+        .collect();
+    watch.say(&http(&list(2, false, &[backend.entry("DRAINING")])));
+    discovery.next_call(&mut watch);
+    drop((crowd, standing));
+}
+
+#[test]
+fn a_repeat_that_could_arrive_after_its_window_is_not_sent() {
+    let (one, two) = (Backend::new("s-1"), Backend::new("s-2"));
+    let fleet = [one.entry("SERVING"), two.entry("SERVING")];
+    let keyed = (
+        r#""semantics":"free""#,
+        r#""semantics":"guarded","group":"all","repeatWindow":0.6"#,
+    );
+    let balancer = Balancer::start_as(no_discovery(), &fleet, &[keyed]);
+    for (pause, repeats) in [(0, true), (450, false)] {
+        let mut client = balancer.open(0x700 + pause, 1800);
+        let (mut server, _) = next_of(&[&one, &two]);
+        // A connection to the next one may take 0.25 s: begun after 0.45 s, the repeat could arrive after 0.7 s.
+        std::thread::sleep(Duration::from_millis(pause));
+        server.say("?\r\n");
+        if repeats {
+            let (mut server, _) = next_of(&[&one, &two]);
+            server.say("UP r1\r\n");
+            assert_eq!(client.line(), "UP r1\r\n");
+            // Both are clear again.
+            std::thread::sleep(Duration::from_millis(700));
+        } else {
+            assert_eq!(answer(&mut client), "BUSY");
+            assert!(one.hears_no_line(Duration::from_millis(50)));
+            assert!(two.hears_no_line(Duration::from_millis(50)));
+        }
+    }
+}
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,8 +1,10 @@
 //! Stories over loopback sockets: one balancer process among scripted peers.
 
+mod endings;
 mod peers;
 mod replace;
 mod service;
+mod watch;
 use peers::*;
 use std::net::Shutdown;
 use std::time::{Duration, Instant};
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -57,7 +57,11 @@
     }
 
     pub fn entry(&self, phase: &str) -> String {
-        let at = self.listener.local_addr().expect("bound");
+        self.entry_at(phase, self.at())
+    }
+
+    /// Its entry with another address.
+    pub fn entry_at(&self, phase: &str, at: SocketAddr) -> String {
         let id = self.id;
         format!(
             r#"{{"id":"{id}","host_port":"{at}","locality":"a","flavor":"m","cell":0,"phase":"{phase}","size":1.0,"up_since_ms":0}}"#
@@ -73,6 +77,50 @@
         next_of(&[self])
     }
 
+    /// The next call, where this stands for discovery: its first line, all of its head read.
+    pub fn call(&self) -> (Peer, String) {
+        let (mut peer, call) = self.accept();
+        while peer.line().trim() != "" {}
+        (peer, call)
+    }
+
+    /// The next call on a connection that is kept.
+    pub fn next_call(&self, peer: &mut Peer) -> String {
+        let call = peer.line();
+        while peer.line().trim() != "" {}
+        call
+    }
+
+    /// The next call, on this connection or another one.
+    pub fn call_on(&self, mut peer: Peer) -> (Peer, String) {
+        let call = peer.line();
+        if call.is_empty() || call == "reset" {
+            return self.call();
+        }
+        while peer.line().trim() != "" {}
+        (peer, call)
+    }
+
+    /// The next connection within a while, its first line read.
+    pub fn takes(&self, span: Duration) -> Option<Peer> {
+        self.listener.set_nonblocking(true).expect("settable");
+        let end = Instant::now() + span;
+        while Instant::now() < end {
+            if let Ok((stream, _)) = self.listener.accept() {
+                stream.set_nonblocking(false).expect("settable");
+                let mut peer = Peer::new(stream);
+                return (!peer.line().is_empty()).then_some(peer);
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        None
+    }
+
+    /// Whether nobody says anything here for a while, whoever connects.
+    pub fn hears_no_line(&self, span: Duration) -> bool {
+        self.takes(span).is_none()
+    }
+
     /// Whether nobody connects for a while.
     pub fn is_left_alone(&self, span: Duration) -> bool {
         self.listener.set_nonblocking(true).expect("settable");
@@ -147,11 +195,7 @@
 
     /// Prepares an answer with this list.
     pub fn tell(&self, revision: u64, complete: bool, entries: &[String]) {
-        let body = list(revision, complete, entries);
-        self.answer(&format!(
-            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}",
-            body.len()
-        ));
+        self.answer(&http(&list(revision, complete, entries)));
     }
 
     pub fn answer(&self, text: &str) {
@@ -163,6 +207,12 @@
     }
 }
 
+/// An answer with this body.
+pub fn http(body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
 pub fn wait_until(mut fact: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !fact() {
@@ -171,7 +221,8 @@
     }
 }
 
-fn list(revision: u64, complete: bool, entries: &[String]) -> String {
+/// A list in discovery's form.
+pub fn list(revision: u64, complete: bool, entries: &[String]) -> String {
     let members = entries.join(",");
     format!(r#"{{"revision":{revision},"complete":{complete},"members":[{members}]}}"#)
 }
@@ -185,20 +236,36 @@
     folder: Arc<Folder>,
 }
 
-/// What a story and its processes share: the configuration, the temporary folder, the log.
-pub struct Folder(pub std::path::PathBuf, pub usize);
+/// The settings of a story that needs no others.
+const SETTINGS: &str = r#"{"balancers":1,"zone":"a","membershipMode":"on_request",
+        "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
+        "domain":{"groups":true,"messageAim":[0.25],"tellsDelay":true},
+        "limits":{"maxAttempts":3,"connectTimeout":0.25,"cancel":true},"rules":{"askWithin":1.0}}"#;
+
+/// What a story and its processes share: the temporary folder, the log, and what is configured.
+pub struct Folder {
+    pub path: std::path::PathBuf,
+    pub sockets: usize,
+    pub settings: String,
+    pub log_level: &'static str,
+}
 
 impl Folder {
     /// What the processes of this folder have logged.
     pub fn log(&self) -> String {
-        std::fs::read_to_string(self.0.join("log")).unwrap_or_default()
+        std::fs::read_to_string(self.path.join("log")).unwrap_or_default()
     }
 
     pub fn new(address: SocketAddr) -> Self {
         let name = format!("spanspur-{}-{address}", std::process::id());
         let folder = std::env::temp_dir().join(name);
         std::fs::create_dir_all(&folder).expect("a folder");
-        Self(folder, 256)
+        Self {
+            path: folder,
+            sockets: 256,
+            settings: SETTINGS.into(),
+            log_level: "debug",
+        }
     }
 }
 
@@ -214,7 +281,7 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        let _ = std::fs::remove_dir_all(&self.path);
     }
 }
 
@@ -228,34 +295,60 @@
 impl Balancer {
     /// Starts one that knows these servers, and waits until it is ready.
     pub fn start(discovery: &Discovery, known: &[String]) -> Self {
-        let [address, operator] = free_ports();
-        let folder = Arc::new(Folder::new(address));
-        let balancer = Self::begin(folder, address, operator, None, discovery, known);
-        wait_until(|| TcpStream::connect(address).is_ok());
+        Self::start_as(discovery.address, known, &[])
+    }
+
+    /// The same with other settings: each text in place of the one before it.
+    pub fn start_as(discovery: SocketAddr, known: &[String], other: &[(&str, &str)]) -> Self {
+        let balancer = Self::begin_as(discovery, known, other);
         let mut front = balancer.connect();
         front.say("PING\r\n");
         assert_eq!(front.line(), "PONG\r\n");
         balancer
     }
 
+    /// The same, once it listens.
+    pub fn begin_as(discovery: SocketAddr, known: &[String], other: &[(&str, &str)]) -> Self {
+        let [address, operator] = free_ports();
+        let mut folder = Folder::new(address);
+        for (from, to) in other {
+            assert!(folder.settings.contains(from), "no {from} in the settings");
+            folder.settings = folder.settings.replace(from, to);
+        }
+        let balancer = Self::begin(Arc::new(folder), address, operator, None, discovery, known);
+        wait_until(|| TcpStream::connect(address).is_ok());
+        balancer
+    }
+
+    /// Neither reads, writes nor hears the time while `meanwhile` runs: all that happens in it comes at once.
+    pub fn at_once<T>(&self, meanwhile: impl FnOnce() -> T) -> T {
+        self.signal("-STOP");
+        let stopped = format!("/proc/{}/stat", self.pid());
+        wait_until(|| std::fs::read_to_string(&stopped).is_ok_and(|stat| stat.contains(") T ")));
+        let done = meanwhile();
+        self.signal("-CONT");
+        done
+    }
+
     /// Starts one, and does not wait; with `held`, clients come to that socket, as descriptor 4.
     pub fn begin(
         folder: Arc<Folder>,
         address: SocketAddr,
         operator: SocketAddr,
         held: Option<&TcpListener>,
-        discovery: &Discovery,
+        discovery: SocketAddr,
         known: &[String],
     ) -> Self {
-        write_config(&folder, address, &discovery.address.to_string(), known);
-        let log = folder.0.join("log");
+        write_config(&folder, address, &discovery.to_string(), known);
+        let log = folder.path.join("log");
         let log = std::fs::File::options().create(true).append(true).open(log);
         let mut command = Command::new(env!("CARGO_BIN_EXE_spanspur"));
         command
-            .env("BALANCER_CONFIG", folder.0.join("config.json"))
-            .env("BALANCER_DISCOVERY", discovery.address.to_string())
+            .env("BALANCER_CONFIG", folder.path.join("config.json"))
+            .env("BALANCER_DISCOVERY", discovery.to_string())
             .env("BALANCER_OPERATOR", operator.to_string())
-            .env("TMPDIR", &folder.0)
+            .env("TMPDIR", &folder.path)
+            .env("RUST_LOG", folder.log_level)
             .stderr(log.expect("a log"));
         if let Some(held) = held {
             let parent_fd = held.try_clone().expect("a socket").into();
@@ -311,6 +404,16 @@
         let _ = self.child.wait();
     }
 
+    /// Where clients come.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until so many clients have asked that have no answer, by its log.
+    pub fn wait_for_reqs(&self, count: usize) {
+        wait_until(|| self.log().matches(" asks ").count() >= count);
+    }
+
     pub fn connect(&self) -> Peer {
         Peer::new(TcpStream::connect(self.address).expect("accepted"))
     }
@@ -363,16 +466,12 @@
 }
 
 pub fn write_config(folder: &Folder, listen: SocketAddr, discovery: &str, known: &[String]) {
-    let settings = r#"{"balancers":1,"zone":"a","membershipMode":"on_request",
-        "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
-        "domain":{"groups":true,"messageAim":[0.25],"tellsDelay":true},
-        "limits":{"maxAttempts":3,"connectTimeout":0.25,"cancel":true},"rules":{"askWithin":1.0}}"#;
-    let (known, sockets) = (list(1, true, known), folder.1);
+    let (known, sockets, settings) = (list(1, true, known), folder.sockets, &folder.settings);
     let text = format!(
         r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"7",
         "limits":{{"sockets":{sockets}}},"known":{known},"settings":{settings}}}"#
     );
-    std::fs::write(folder.0.join("config.json"), text).expect("written");
+    std::fs::write(folder.path.join("config.json"), text).expect("written");
 }
 
 /// Reads until the stream ends.
--- a/tests/sockets/replace.rs
+++ b/tests/sockets/replace.rs
@@ -39,7 +39,7 @@
             self.address,
             operator,
             held,
-            &self.discovery,
+            self.discovery.address,
             &self.known,
         );
         wait_until(|| TcpStream::connect(operator).is_ok());
@@ -57,7 +57,8 @@
 
     /// Comes to the process that serves as one that would replace it.
     fn come(&self, frames: &[Frame]) -> UnixStream {
-        let mut stream = UnixStream::connect(self.folder.0.join("spanspur-n0.sock")).expect("held");
+        let mut stream =
+            UnixStream::connect(self.folder.path.join("spanspur-n0.sock")).expect("held");
         for frame in frames {
             stream
                 .write_all(&encode(frame, 0).expect("small"))
@@ -293,7 +294,8 @@
 fn measure(count: usize, followed: bool) -> Row {
     let backends = ["s-1", "s-2"].map(obliging);
     let mut place = Place::new(&[&backends[0], &backends[1]]);
-    Arc::get_mut(&mut place.folder).expect("alone").1 = 16_000;
+    let folder = Arc::get_mut(&mut place.folder).expect("alone");
+    (folder.sockets, folder.log_level) = (16_000, "info");
     let old = place.start();
     // One after the other: the stand-ins' listeners hold few that wait, and who waits too long is refused.
     let open = |id| {
--- a/tests/sockets/service.rs
+++ b/tests/sockets/service.rs
@@ -66,7 +66,7 @@
     assert!(other.is_left_alone(Duration::from_millis(50)));
     // The file is there before the yes: one killed in between has it out as well, and a second call is a yes.
     assert_eq!(balancer.call(DETACH, asked.id).0, 200);
-    let kept = std::fs::read(balancer.folder().0.join("spanspur-n0.outs")).expect("the file");
+    let kept = std::fs::read(balancer.folder().path.join("spanspur-n0.outs")).expect("the file");
     let kept = spanspur_service::outs::Outs::read(&kept).expect("whole");
     assert_eq!(kept.out().count(), 2);
 }
@@ -78,7 +78,14 @@
     let [address, operator] = free_ports();
     let folder = std::sync::Arc::new(Folder::new(address));
     let start = || {
-        let balancer = Balancer::begin(folder.clone(), address, operator, None, &discovery, &known);
+        let balancer = Balancer::begin(
+            folder.clone(),
+            address,
+            operator,
+            None,
+            discovery.address,
+            &known,
+        );
         wait_until(|| std::net::TcpStream::connect(operator).is_ok());
         assert_eq!(balancer.call("/_ready", "").0, 200);
         balancer
@@ -96,7 +103,7 @@
     }
     assert!(one.is_left_alone(Duration::from_millis(50)));
     balancer.kill();
-    let file = folder.0.join("spanspur-n0.outs");
+    let file = folder.path.join("spanspur-n0.outs");
     let whole = std::fs::read(&file).expect("the file");
     std::fs::write(&file, &whole[..whole.len() / 2]).expect("written");
     let balancer = start();
@@ -105,7 +112,7 @@
         "{}",
         balancer.log()
     );
-    assert!(folder.0.join("spanspur-n0.outs.bad").exists());
+    assert!(folder.path.join("spanspur-n0.outs.bad").exists());
     // It starts, and what it held is lost: the staff is told by the log.
     assert_eq!(balancer.call(DETACH, "s-2").0, 200);
     let (_client, mut server) = (balancer.open(0xe9, 2000), one.accept().0);
@@ -212,9 +219,16 @@
     for (fd, what) in wrong {
         let held = TcpListener::from(fd);
         let start = (folder.clone(), address, operator);
-        let process = Balancer::begin(start.0, start.1, start.2, Some(&held), &discovery, &[]);
+        let process = Balancer::begin(
+            start.0,
+            start.1,
+            start.2,
+            Some(&held),
+            discovery.address,
+            &[],
+        );
         assert_eq!(process.exit(), Some(1));
-        let log = std::fs::read_to_string(folder.0.join("log")).expect("a log");
+        let log = std::fs::read_to_string(folder.path.join("log")).expect("a log");
         assert!(
             log.contains(&format!("BALANCER_ACCEPT_FD: {what}")),
             "{log}"
@@ -227,7 +241,7 @@
         ("x", "not the number of a descriptor"),
     ] {
         let ended = std::process::Command::new(env!("CARGO_BIN_EXE_spanspur"))
-            .env("BALANCER_CONFIG", folder.0.join("config.json"))
+            .env("BALANCER_CONFIG", folder.path.join("config.json"))
             .env("BALANCER_ACCEPT_FD", fd)
             .output()
             .expect("it starts");
@@ -243,7 +257,14 @@
     let held = TcpListener::bind(address).expect("free");
     let folder = std::sync::Arc::new(Folder::new(address));
     let entry = backend.entry("SERVING");
-    let balancer = Balancer::begin(folder, address, operator, Some(&held), &discovery, &[entry]);
+    let balancer = Balancer::begin(
+        folder,
+        address,
+        operator,
+        Some(&held),
+        discovery.address,
+        &[entry],
+    );
     wait_until(|| std::net::TcpStream::connect(operator).is_ok());
     assert_eq!(balancer.call("/_ready", "").0, 200);
     let (mut client, _server) = balancer.standing(0x11, &backend);
--- /dev/null
+++ b/tests/sockets/watch.rs
@@ -0,0 +1,169 @@
+//! Ends of the watch on discovery: what it has is known in time whatever became of the call before.
+
+use crate::peers::*;
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::{Duration, Instant};
+
+/// Where lists are pushed, by an agent that stands where discovery does.
+const PUSHED: (&str, &str) = ("on_request", "pushed");
+/// Discovery is asked this seldom at the operators' own site.
+const SELDOM: (&str, &str) = (r#""askWithin":1.0"#, r#""askWithin":10.0"#);
+
+/// A change counts as told by then, once discovery has it and can be reached.
+const TOLD: Duration = Duration::from_secs(6);
+
+/// A client finds nobody to be sent to.
+fn is_refused(balancer: &Balancer, id: u64) -> bool {
+    balancer.open(id, 150).line().starts_with("BUSY")
+}
+
+#[test]
+fn a_pushed_list_is_watched_from_the_first_moment_and_again_at_once() {
+    let (agent, old, new) = (
+        Backend::new("d-1"),
+        Backend::new("s-1"),
+        Backend::new("s-2"),
+    );
+    let balancer = Balancer::begin_as(agent.at(), &[old.entry("SERVING")], &[PUSHED]);
+    let (mut watch, call) = agent.call();
+    assert!(call.contains("since=1&timeout_ms=0 "), "{call}");
+    // What the agent has counts as told already: nobody is let in on the old list.
+    let mut front = balancer.connect();
+    front.say("PING\r\n");
+    let changes = [old.entry("DRAINING"), new.entry("SERVING")];
+    watch.say(&http(&list(2, false, &changes)));
+    assert_eq!(front.line(), "PONG\r\n");
+    balancer.standing(0x11, &new);
+    // The agent restarts: it is asked again long before a drain's grace is over.
+    let call = agent.next_call(&mut watch);
+    assert!(call.contains("since=2&timeout_ms=3000 "), "{call}");
+    let broken = Instant::now();
+    watch.stream().shutdown(Shutdown::Both).expect("open");
+    let (mut watch, _) = agent.call();
+    assert!(
+        broken.elapsed() < Duration::from_millis(200),
+        "{:?}",
+        broken.elapsed()
+    );
+    watch.say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    let (mut watch, call) = agent.call_on(watch);
+    assert!(call.contains("since=2&"), "{call}");
+    watch.say(&http(&list(3, false, &[new.entry("DRAINING")])));
+    agent.next_call(&mut watch);
+    assert!(is_refused(&balancer, 0x12));
+}
+
+#[test]
+fn an_agent_that_says_nothing_does_not_keep_a_process_from_being_ready() {
+    let (agent, backend) = (Backend::new("d-1"), Backend::new("s-1"));
+    let began = Instant::now();
+    let _balancer = Balancer::start_as(agent.at(), &[backend.entry("SERVING")], &[PUSHED]);
+    assert!(
+        began.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
+#[test]
+fn after_many_refused_calls_a_change_is_known_in_time() {
+    let (discovery, backend) = (Backend::new("d-1"), Backend::new("s-1"));
+    let balancer = Balancer::start_as(discovery.at(), &[backend.entry("SERVING")], &[SELDOM]);
+    // Refused, reset and cut off in turn: the pauses between calls grow with each.
+    let ends = [
+        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{",
+    ];
+    for end in ends.into_iter().cycle().take(5) {
+        let (mut watch, _) = discovery.call();
+        watch.say(end);
+        watch.stream().shutdown(Shutdown::Both).expect("open");
+    }
+    // From here on it can be reached, and has news.
+    let reachable = Instant::now();
+    let (mut watch, call) = discovery.call();
+    assert!(call.contains("since=1&"), "{call}");
+    watch.say(&http(&list(2, false, &[backend.entry("DRAINING")])));
+    discovery.next_call(&mut watch);
+    assert!(is_refused(&balancer, 0x21));
+    assert!(reachable.elapsed() < TOLD, "{:?}", reachable.elapsed());
+}
+
+#[test]
+fn a_watch_that_falls_silent_and_a_call_that_breaks_after_it_cost_no_change() {
+    let (discovery, backend) = (Backend::new("d-1"), Backend::new("s-1"));
+    let balancer = Balancer::start_as(discovery.at(), &[backend.entry("SERVING")], &[SELDOM]);
+    // It stays open and says nothing more; the next call is turned away.
+    let (_silent, _) = discovery.call();
+    let silent = Instant::now();
+    drop(discovery.call());
+    let (mut watch, _) = discovery.call();
+    watch.say(&http(&list(2, false, &[backend.entry("DRAINING")])));
+    discovery.next_call(&mut watch);
+    assert!(is_refused(&balancer, 0x31));
+    assert!(silent.elapsed() < TOLD, "{:?}", silent.elapsed());
+}
+
+#[test]
+fn odd_answers_leave_the_last_good_list_and_are_asked_again() {
+    let (discovery, backend) = (Backend::new("d-1"), obliging("s-1"));
+    let balancer = Balancer::start_as(discovery.at(), &[backend.entry("SERVING")], &[]);
+    let endless = format!(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{}",
+        "1\r\nx\r\n".repeat(50)
+    );
+    let odd = [
+        "garbage\r\n\r\n".to_owned(),
+        http("{"),
+        http(r#"{"revision":9,"complete":true}"#),
+        http(r#"{"revision":-1,"complete":true,"members":[]}"#),
+        http(r#"{"revision":9,"complete":true,"members":[{"id":7}]}"#),
+        http(r#"{"revision":9,"complete":true,"members":[]}"#),
+        http(&list(0, false, &[backend.entry("DELETED")])),
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n".to_owned(),
+        format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(70_000)),
+        endless,
+        http(&" ".repeat(3_000_000)),
+    ];
+    let mut called = None;
+    for (n, text) in odd.iter().enumerate() {
+        let (watch, call) = called.take().unwrap_or_else(|| discovery.call());
+        assert!(call.contains("GET /api/targets"), "{call}");
+        // The balancer may have had enough before the last byte.
+        let _ = watch.stream().write_all(text.as_bytes());
+        if n != 9 {
+            let _ = watch.stream().shutdown(Shutdown::Write);
+        }
+        let asked = Instant::now();
+        called = Some(discovery.call());
+        assert!(asked.elapsed() < TOLD, "{n}: {:?}", asked.elapsed());
+        let mut client = balancer.open(0x40 + n as u64, 1000);
+        assert_eq!(client.line(), "UP r1\r\n", "after answer {n}");
+        drop(watch);
+    }
+}
+
+#[test]
+fn an_answer_that_comes_twice_is_not_taken_for_the_next_call() {
+    let (discovery, one, two) = (
+        Backend::new("d-1"),
+        Backend::new("s-1"),
+        Backend::new("s-2"),
+    );
+    let balancer = Balancer::start_as(discovery.at(), &[one.entry("SERVING")], &[]);
+    let (mut watch, _) = discovery.call();
+    let twice = http(&list(2, false, &[two.entry("DRAINING")]));
+    watch.say(&twice.repeat(2));
+    // The next call comes on a connection of its own, and its answer counts.
+    let (mut next, call) = discovery.call();
+    assert!(call.contains("since=2&"), "{call}");
+    next.say(&http(&list(
+        3,
+        false,
+        &[one.entry("DRAINING"), two.entry("SERVING")],
+    )));
+    discovery.next_call(&mut next);
+    balancer.standing(0x51, &two);
+}
