Test the ramp for the sum of 20 and 30 nodes through lulls, waves and restarts

Needed: the operators put down to chance only 2 x root of N + 2 beyond a cold server's N, also with 20 or 30 processes.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -173,6 +173,78 @@
     assert!(new as f64 > due / 2.0, "{new} at newcomers, {due} due");
 }
 
+/// The most that a cold server may be sent in two seconds from `age` on by the operators' terms: what it bears, and a
+/// little for chance, whatever the number of processes.
+fn allowed(age: Time) -> f64 {
+    let bearable = bearable(age);
+    bearable + 2.0 * bearable.sqrt() + 2.0
+}
+
+/// Twenty or thirty nodes whose clients come at a rate, and nobody for `lull` before a wave: the ramp holds for the sum.
+#[test]
+fn the_ramp_holds_for_the_sum_of_20_or_30_nodes_through_lulls_waves_and_restarts() {
+    for (nodes, lull, restarts) in [
+        (20, 0.0, false),
+        (30, 0.0, false),
+        (20, 1.9, false),
+        (30, 1.9, false),
+        (30, 4.0, false),
+        (20, 0.0, true),
+        (30, 1.9, true),
+    ] {
+        for seed in 1..6 {
+            let mut fleet = Fleet::of(nodes, 8, 6);
+            fleet.random = Random(seed);
+            let cold: Vec<Member> = (20..26)
+                .map(|i| Member {
+                    started: 100.0 + 0.3 * (i - 20) as f64,
+                    ..of_size(i)
+                })
+                .collect();
+            fleet.tell(102.0, &cold);
+            let mut sent: BTreeMap<ServerId, Vec<Time>> = BTreeMap::new();
+            let mut restarted = 0;
+            for tick in 0..2_000 {
+                let now = 102.0 + f64::from(tick) / 100.0;
+                // All processes start anew, one after the other, within two seconds.
+                if restarts && tick > 300 && restarted < nodes as usize && tick % 6 == 0 {
+                    let fresh = Fleet::of(nodes, 8, 6).nodes.swap_remove(restarted);
+                    fleet.nodes[restarted] = fresh;
+                    fleet.nodes[restarted].list(now, ListKind::Delta, &cold);
+                    restarted += 1;
+                }
+                // Four seconds of clients, then the lull, then all that was held back within a tenth of a second.
+                let at = f64::from(tick % 600) / 100.0;
+                let count = match at {
+                    at if at < 4.0 => 4,
+                    at if at < 4.0 + lull => 0,
+                    at if at < 4.1 + lull => 60,
+                    _ => 4,
+                };
+                for _ in 0..count {
+                    let node = fleet.random.below(u64::from(nodes)) as usize;
+                    let group = fleet.random.below(200);
+                    if let Some(to) = fleet.come(now, node, group) {
+                        sent.entry(to).or_default().push(now);
+                    }
+                }
+            }
+            for server in &cold {
+                let times = sent.get(&server.id).map_or(&[][..], |times| times);
+                assert!(times.len() > 20, "{} used of {server:?}", times.len());
+                for (i, at) in times.iter().enumerate() {
+                    let window = times[i..].iter().take_while(|t| **t < at + 2.0).count();
+                    let most = allowed(at - server.started);
+                    assert!(
+                        window as f64 <= most,
+                        "{nodes} nodes, lull {lull}, restarts {restarts}, seed {seed}: {window} from {at}, {most} allowed"
+                    );
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn parts_of_a_budget_that_nobody_used_do_not_come_in_one_wave() {
     let mut fleet = Fleet::new(5);
