--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -99,6 +99,12 @@
         }
     }
     let end = (Instant::now() + LAST_WORDS).min(kill - EXIT_BEFORE / 2);
+    if host.answering.get() > 0 {
+        tracing::info!(
+            clients = host.answering.get(),
+            "waits for clients that have their answer to end"
+        );
+    }
     while host.answering.get() > 0 && Instant::now() < end {
         sleep(TICK).await;
     }
