--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -15,12 +15,12 @@
 use tokio::time::{sleep, timeout};
 
 /// How long a call may wait at discovery for something new. A discovery that falls silent is noticed only after
-/// this, and meanwhile backends drain and go untold.
-const WAIT: Duration = Duration::from_secs(3);
+/// this, and meanwhile backends drain and go untold. A watch that goes on costs it nothing, however often it is renewed.
+const WAIT: Duration = Duration::from_secs(2);
 /// Past that, a call without an answer has failed: discovery is cut off and gives no sign. What a silent watch
-/// misses counts as told after 6 s, and where all fall silent at once the next call is turned away first: the
-/// rest of that time is for asking again.
-const SILENCE: Duration = Duration::from_millis(1200);
+/// misses counts as told after 6 s, and where all fall silent at once the next call is turned away, maybe the one
+/// after it too: half of that time is for asking again.
+const SILENCE: Duration = Duration::from_millis(1000);
 
 /// Connecting to discovery takes no longer than this.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -57,11 +57,13 @@
                     listed = outsourced(news.as_deref()).await.or(listed);
                 }
                 what = follow(&host, at, &mut listed, news.as_deref()) => {
-                    tracing::info!(what, discovery = %at, "the watch on discovery ends");
                     if host.pushed() {
+                        check::count("a watch on the agent that pushes lists has ended");
+                        tracing::debug!(what, agent = %at, "the watch ends");
                         sleep(AGENT_PAUSE).await;
                         continue;
                     }
+                    tracing::info!(what, discovery = %at, "the watch on discovery ends");
                     host.event(Event::ListFailed);
                     break;
                 }
--- a/tests/sockets/endings.rs
+++ b/tests/sockets/endings.rs
@@ -12,12 +12,6 @@
 /// Its clients wait longer than a process that leaves may.
 const PATIENT: (&str, &str) = (r#""hardLimit":2.0"#, r#""hardLimit":9.0"#);
 
-fn no_discovery() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|l| l.local_addr())
-        .expect("a port")
-}
-
 /// Whether a client is answered as failed, refused, or not at all.
 fn answer(client: &mut Peer) -> String {
     let answer = client.line();
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! Stories over loopback sockets: one balancer process among scripted peers.
 
 mod endings;
+mod fleet;
 mod peers;
 mod replace;
 mod service;
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -68,6 +68,11 @@
         )
     }
 
+    /// Another hold of where clients come, for a thread of the story's own.
+    pub fn listener(&self) -> TcpListener {
+        self.listener.try_clone().expect("a socket")
+    }
+
     pub fn at(&self) -> SocketAddr {
         self.listener.local_addr().expect("bound")
     }
@@ -213,6 +218,15 @@
     format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}")
 }
 
+/// Where nobody answers.
+pub fn no_discovery() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().expect("bound");
+    // Held to the end: nobody else may come to answer there.
+    std::mem::forget(listener);
+    at
+}
+
 pub fn wait_until(mut fact: impl FnMut() -> bool) {
     let end = Instant::now() + PATIENCE;
     while !fact() {
@@ -484,7 +498,7 @@
 /// A backend that takes everyone and answers each line, on threads of its own.
 pub fn obliging(id: &'static str) -> Backend {
     let backend = Backend::new(id);
-    let listener = backend.listener.try_clone().expect("a socket");
+    let listener = backend.listener();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             std::thread::spawn(move || {
--- a/tests/sockets/watch.rs
+++ b/tests/sockets/watch.rs
@@ -37,7 +37,7 @@
     balancer.standing(0x11, &new);
     // The agent restarts: it is asked again long before a drain's grace is over.
     let call = agent.next_call(&mut watch);
-    assert!(call.contains("since=2&timeout_ms=3000 "), "{call}");
+    assert!(call.contains("since=2&timeout_ms=2000 "), "{call}");
     let broken = Instant::now();
     watch.stream().shutdown(Shutdown::Both).expect("open");
     let (mut watch, _) = agent.call();
@@ -97,9 +97,14 @@
 fn a_watch_that_falls_silent_and_a_call_that_breaks_after_it_cost_no_change() {
     let (discovery, backend) = (Backend::new("d-1"), Backend::new("s-1"));
     let balancer = Balancer::start_as(discovery.at(), &[backend.entry("SERVING")], &[SELDOM]);
-    // It stays open and says nothing more; the next call is turned away.
+    // It stays open and says nothing more; the next call is turned away, and the one after it breaks.
     let (_silent, _) = discovery.call();
     let silent = Instant::now();
+    let (mut refused, _) = discovery.call();
+    // More than two fifths of the time are left for what becomes of this call.
+    assert!(silent.elapsed() < TOLD * 3 / 5, "{:?}", silent.elapsed());
+    refused.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+    drop(refused);
     drop(discovery.call());
     let (mut watch, _) = discovery.call();
     watch.say(&http(&list(2, false, &[backend.entry("DRAINING")])));
