Make the rig of the duties the rig of the fleet, with measured series and their lines

Need: docs/CAPACITY.md works every figure out from slopes measured here, and the rig of the duties is where whole clusters are played. Change: crates/duties-rig becomes crates/fleet-rig; series.rs keeps what was measured at stepped sizes in one file, with the line by least squares, its spread and how far a figure is stretched. No measured figure yet. Checked: the two tests of the series pass, clippy is clean.

--- a/crates/duties-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -1,4 +1,4 @@
-//! Rigs for the shared duties: clusters of real nodes (`spanspur_cluster::Node`) in virtual time and of real
+//! The rig of the fleet: clusters of real nodes (`spanspur_cluster::Node`) in virtual time and of real
 //! processes on loopback, with faults from a seed, and a judge who knows the truth.
 #![forbid(unsafe_code)]
 
@@ -6,6 +6,7 @@
 pub mod judge;
 pub mod measure;
 pub mod real;
+pub mod series;
 pub mod soak;
 pub mod world;
 
--- a/crates/duties-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -1,12 +1,12 @@
-//! Long runs and measurements of the shared duties.
+//! Long runs and measurements of the fleet.
 
 use clap::{Parser, Subcommand};
-use spanspur_duties_rig::{Plan, measure, soak};
+use spanspur_fleet_rig::{Plan, measure, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-/// Rigs for the shared duties.
+/// The rig of the fleet: long runs, costs and slopes.
 #[derive(Parser)]
 struct Cli {
     #[command(subcommand)]
--- a/crates/duties-rig/src/measure.rs
+++ b/crates/fleet-rig/src/measure.rs
@@ -236,7 +236,7 @@
 
 fn table(results: &Results) -> Result<String, std::fmt::Error> {
     let mut text = String::from(
-        "# Shared duties, measured\n\nMade by `cargo run --release -p spanspur-duties-rig -- measure docs/measured`: \
+        "# Shared duties, measured\n\nMade by `cargo run --release -p spanspur-fleet-rig -- measure docs/measured`: \
          real nodes down to their sealed datagrams, in virtual time, one thread playing all instances of a run; \
          datagrams are not lost, and take 1 to 20 ms. Five voters a duty.\n\n\
          ## What one instance sends and spends a second\n\nDuties of 10 s. `idle` is the same cluster with no duty: \
--- a/crates/duties-rig/tests/virtual_time.rs
+++ b/crates/fleet-rig/tests/virtual_time.rs
@@ -1,7 +1,7 @@
 //! Clusters of real nodes in virtual time. Each test prints its seed; the same seed plays the same again.
 
 use rand::RngExt;
-use spanspur_duties_rig::{Fault, Plan, Verdict, World};
+use spanspur_fleet_rig::{Fault, Plan, Verdict, World};
 
 /// From here on every duty has been done once, whatever the instances abstained for.
 fn settled(plan: &Plan) -> u64 {
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -1,7 +1,7 @@
 //! Shared duties among real processes on loopback: killed, frozen, cut off, reloaded. What counts is the stand-in
 //! servers' own record.
 
-use spanspur_duties_rig::real::*;
+use spanspur_fleet_rig::real::*;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
