Measure the flat cluster at stepped sizes: a meter on the nodes, scale, and sockets

Change: the world finds the target in an index; a meter reads the thread's clock around each call of a node, and keeps who sees whom and who has which news; `scale` plays each run in a process of its own and keeps runs, series, a table and charts; `--sockets` plays the same with the balancer's driver over loopback.

--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -5,9 +5,12 @@
 pub mod charts;
 pub mod judge;
 pub mod measure;
+pub mod meter;
 pub mod real;
+pub mod scale;
 pub mod series;
 pub mod soak;
+pub mod sockets;
 pub mod world;
 
 pub use judge::{Act, Judge, Verdict};
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -1,7 +1,7 @@
 //! Long runs and measurements of the fleet.
 
 use clap::{Parser, Subcommand};
-use spanspur_fleet_rig::{Plan, measure, soak};
+use spanspur_fleet_rig::{Plan, measure, scale, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -50,6 +50,8 @@
         #[arg(default_value = "docs/measured")]
         folder: PathBuf,
     },
+    /// What the flat cluster costs at stepped sizes: series, a table and charts.
+    Scale(scale::Args),
 }
 
 fn main() -> ExitCode {
@@ -102,16 +104,18 @@
             }
             verdict.sound()
         }
-        Command::Measure { folder } => match measure::run(&folder) {
-            Ok(()) => true,
-            Err(what) => {
-                eprintln!("{what}");
-                false
-            }
-        },
+        Command::Measure { folder } => told(measure::run(&folder)),
+        Command::Scale(args) => told(scale::run(&args)),
     };
     match sound {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
     }
 }
+
+fn told(done: Result<(), String>) -> bool {
+    if let Err(what) = &done {
+        eprintln!("{what}");
+    }
+    done.is_ok()
+}
--- a/crates/fleet-rig/src/world.rs
+++ b/crates/fleet-rig/src/world.rs
@@ -2,14 +2,16 @@
 //! clocks, the processes' deaths and pauses come from a seed. The same seed plays the same again.
 
 use crate::judge::{Act, Judge};
+use crate::meter::{Meter, metered};
 use crate::ranking;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use spanspur_cluster::node::{Effect, Node, Notice, Setup};
+use spanspur_duties::board::Entry;
 use spanspur_duties::{Millis, Now, Permit};
 use spanspur_membership::{Identity, Key, Keys, Pace};
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -117,6 +119,10 @@
     pub watch: Option<u64>,
     /// Datagrams and bytes sent by each instance.
     pub sent: Vec<(u64, u64)>,
+    /// What the nodes spend and see, where that is asked for.
+    pub meter: Option<Meter>,
+    /// Instances by address.
+    index: HashMap<SocketAddr, usize>,
     processes: Vec<Process>,
     heap: BinaryHeap<Reverse<(Millis, u64)>>,
     events: BTreeMap<u64, Event>,
@@ -129,7 +135,8 @@
     keys: Vec<Vec<u8>>,
 }
 
-fn address(i: usize) -> SocketAddr {
+/// Where an instance takes datagrams.
+pub fn address(i: usize) -> SocketAddr {
     (
         Ipv4Addr::new(127, 0, 1 + (i / 250) as u8, 1 + (i % 250) as u8),
         7000,
@@ -169,6 +176,8 @@
         let mut world = Self {
             names: names.collect(),
             sent: vec![(0, 0); plan.instances],
+            meter: None,
+            index: (0..plan.instances).map(|i| (address(i), i)).collect(),
             plan,
             now: 0,
             judge: Judge::default(),
@@ -198,6 +207,20 @@
         self.processes[i].node.as_ref()
     }
 
+    /// The instance that takes datagrams at an address.
+    pub fn target(&self, to: SocketAddr) -> Option<usize> {
+        self.index.get(&to).copied()
+    }
+
+    /// An instance that runs puts entries on the board.
+    pub fn publish(&mut self, i: usize, entries: Vec<Entry>) {
+        let now = self.clocks(i);
+        if let Some(node) = &mut self.processes[i].node {
+            metered(&mut self.meter, i, || node.publish(now, entries));
+            self.settle(i);
+        }
+    }
+
     /// The random numbers of the world, for drawing a script.
     pub fn random(&mut self) -> &mut ChaCha8Rng {
         &mut self.random
@@ -256,7 +279,7 @@
             Event::Datagram(i, from, bytes) => {
                 let now = self.clocks(i);
                 if let Some(node) = &mut self.processes[i].node {
-                    node.receive(now, from, &bytes);
+                    metered(&mut self.meter, i, || node.receive(now, from, &bytes));
                     self.settle(i);
                 }
             }
@@ -268,9 +291,11 @@
                 }
                 process.wake_at = Millis::MAX;
                 if let Some(node) = &mut process.node {
-                    if node.next_wake() <= now.mono {
-                        node.wake(now);
-                    }
+                    metered(&mut self.meter, i, || {
+                        if node.next_wake() <= now.mono {
+                            node.wake(now);
+                        }
+                    });
                     self.settle(i);
                 }
             }
@@ -334,6 +359,9 @@
         let mut node = Node::new(born, setup);
         let known = self.processes[i].duties;
         node.configure(now, &self.duties(known));
+        if let Some(meter) = &mut self.meter {
+            meter.forgets(i);
+        }
         let process = &mut self.processes[i];
         (process.node, process.boot, process.frozen) = (Some(node), boot, false);
         process.wake_at = Millis::MAX;
@@ -423,8 +451,7 @@
         let Some(node) = &mut self.processes[i].node else {
             return;
         };
-        let effects = node.effects();
-        let next = node.next_wake();
+        let (effects, next) = metered(&mut self.meter, i, || (node.effects(), node.next_wake()));
         for effect in effects {
             match effect {
                 Effect::Datagram(to, bytes) => self.send(i, to, bytes),
@@ -440,6 +467,9 @@
                     }
                 }
                 Effect::Notice(notice) => {
+                    if let Some(meter) = &mut self.meter {
+                        meter.notice(self.now, i, &notice);
+                    }
                     let about = match &notice {
                         Notice::Missed(d, _) | Notice::Minority(d, _) | Notice::Holds(d, _) => {
                             Some(d.0)
@@ -450,7 +480,11 @@
                         println!("{} n{i} {notice:?}", self.now);
                     }
                 }
-                Effect::News(_) => {}
+                Effect::News(entry) => {
+                    if let Some(meter) = &mut self.meter {
+                        meter.news(self.now, &entry);
+                    }
+                }
             }
         }
         let at = next
@@ -465,7 +499,7 @@
     fn send(&mut self, from: usize, to: SocketAddr, bytes: Vec<u8>) {
         self.sent[from].0 += 1;
         self.sent[from].1 += bytes.len() as u64;
-        let Some(target) = (0..self.plan.instances).find(|i| address(*i) == to) else {
+        let Some(target) = self.target(to) else {
             return;
         };
         if self.recorded.len() < 512 {
