Add docs/CAPACITY.md with its generator and test: the size of two years

Change: `fleet-rig capacity` works every row out from docs/measured/scale.json, single plays of distribution.json, assumptions.json and the bounds in the code, and writes the page's tables; `--check` and a test fail where page and data differ. What has no series says `not measured`, what did not come about at a size says `never`. Assumptions are asked in docs/QUESTIONS.md.

No series is in this tree yet, so no row rests on a measurement.

--- /dev/null
+++ b/crates/fleet-rig/src/capacity/data.rs
@@ -0,0 +1,261 @@
+//! The data path of one balancer, and the tables of what everything rests on.
+
+use super::book::{Book, Given, describe};
+use super::figure::{Figure, Unit, digits};
+use super::row::{Limit, Mechanism, Row};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// What would put a row right that asks more than a core of one process.
+const PROCESSES: &str = "a balancer of several processes: missing";
+
+/// Connections that stand at one balancer.
+pub fn connections(book: &Book) -> Figure {
+    book.given("connections") / book.given("balancers")
+}
+
+/// Deliveries a second through one balancer.
+pub fn deliveries(book: &Book) -> Figure {
+    book.given("deliveries") / book.given("balancers")
+}
+
+/// New connections a second at one balancer, by Little's law: what stands over how long one stands.
+pub fn arrivals(book: &Book) -> Figure {
+    connections(book) / book.given("connection-life")
+}
+
+/// New connections a second at one balancer that stays, while those of a lost zone come again.
+fn arrivals_zone_lost(book: &Book) -> Figure {
+    let zones = book.given("zones");
+    // The balancers that stay take the zone's clients, and those that stood at the zone's stream servers.
+    let balancers = book.given("balancers") * (zones.clone() - 1.0) / zones.clone();
+    let lost = book.given("connections") / zones.clone();
+    let at_servers = lost.clone() * (zones.clone() - 1.0) / zones;
+    arrivals(book) + (lost + at_servers) / book.given("come-back") / balancers
+}
+
+/// The data path's rows.
+pub fn rows(book: &Book) -> Vec<Row> {
+    let core = || Limit::Own(Figure::of(1.0), "one process runs on one core");
+    let relay = Mechanism::Is("src/net/relay.rs", "pub async fn");
+    let place = Mechanism::Is("src/choice.rs", "fn choose");
+    let list = Mechanism::Is("src/net/director.rs", "async fn follow");
+    let stand = connections(book);
+    let memory = || Limit::Own(book.given("balancer-memory") * 1e9, "assumed");
+    let zones = book.given("zones");
+    let more = zones.clone() / (zones - 1.0);
+    // Processor time a second, by deliveries a second: its slope is the seconds of one delivery.
+    let a_delivery = book.slope("delivery-cpu", Unit::Cores, &deliveries(book));
+    let mut rows = vec![
+        Row::new("connections that stand", "all", Unit::Count, stand.clone()),
+        Row::new(
+            "descriptors, two a connection",
+            "all",
+            Unit::Count,
+            stand.clone() * 2.0,
+        )
+        .by(Mechanism::Is("src/net/room.rs", "pub struct Room")),
+        Row::new(
+            "memory of the process for what stands",
+            "all",
+            Unit::Bytes,
+            stand.clone() * book.slope("standing-memory", Unit::Bytes, &stand),
+        )
+        .limit(memory())
+        .by(relay),
+        Row::new(
+            "memory of the kernel for what stands",
+            "all",
+            Unit::Bytes,
+            stand.clone() * book.slope("standing-kernel", Unit::Bytes, &stand),
+        )
+        .limit(memory())
+        .by(Mechanism::Outside("the kernel")),
+    ];
+    let relayed = [
+        ("mean", deliveries(book)),
+        (
+            "busiest minute",
+            deliveries(book) * book.given("deliveries-busiest"),
+        ),
+        (
+            "zone lost, in the busiest minute",
+            deliveries(book) * book.given("deliveries-busiest") * more,
+        ),
+    ];
+    for (when, rate) in relayed {
+        rows.push(
+            Row::new(
+                "processor for deliveries",
+                when,
+                Unit::Cores,
+                rate * a_delivery.clone(),
+            )
+            .limit(core())
+            .by(relay)
+            .answer(PROCESSES),
+        );
+    }
+    let busiest = deliveries(book) * book.given("deliveries-busiest") * a_delivery
+        + arrivals(book)
+            * book.given("arrivals-busiest")
+            * book.at("placement-warm", Unit::Seconds, book.given("servers"));
+    rows.push(
+        Row::new(
+            "processor for deliveries and placements, of all cores",
+            "busiest minute",
+            Unit::Cores,
+            busiest,
+        )
+        .limit(Limit::Own(book.given("balancer-cores"), "assumed"))
+        .by(relay)
+        .answer(PROCESSES),
+    );
+    rows.push(
+        Row::new(
+            "a delivery's time on the way, 99 in 100",
+            "mean",
+            Unit::Seconds,
+            book.at("delivery-time", Unit::Seconds, deliveries(book)),
+        )
+        .limit(Limit::Letter(book.given("delivery-ms") / 1000.0))
+        .by(relay),
+    );
+    rows.push(
+        Row::new(
+            "bytes of deliveries, in and out",
+            "busiest minute",
+            Unit::ByteRate,
+            deliveries(book)
+                * book.given("deliveries-busiest")
+                * book.given("delivery-bytes")
+                * 2.0,
+        )
+        .by(relay),
+    );
+    for servers in [90.0, 1000.0, 5000.0, 20_000.0] {
+        for (series, cold) in [
+            ("placement-warm", "all warm"),
+            ("placement-cold", "half cold"),
+        ] {
+            rows.push(
+                Row::new(
+                    format!("a placement at {} servers, {cold}", digits(servers)),
+                    "each",
+                    Unit::Seconds,
+                    book.at(series, Unit::Seconds, Figure::of(servers)),
+                )
+                .by(place),
+            );
+        }
+    }
+    let placed = [
+        ("mean", arrivals(book), "placement-warm"),
+        (
+            "busiest minute",
+            arrivals(book) * book.given("arrivals-busiest"),
+            "placement-warm",
+        ),
+        ("zone lost", arrivals_zone_lost(book), "placement-cold"),
+        (
+            "release of everything",
+            arrivals_release(book),
+            "placement-cold",
+        ),
+    ];
+    for (when, rate, series) in placed {
+        rows.push(Row::new("new connections", when, Unit::Rate, rate.clone()).by(place));
+        let each = book.at(series, Unit::Seconds, book.given("servers"));
+        rows.push(
+            Row::new("processor for placements", when, Unit::Cores, rate * each)
+                .limit(core())
+                .by(place)
+                .answer(PROCESSES),
+        );
+    }
+    for (series, what) in [
+        ("list-whole", "a whole list taken in"),
+        ("list-one", "a list of one entry taken in"),
+    ] {
+        rows.push(
+            Row::new(
+                what,
+                "each",
+                Unit::Seconds,
+                book.at(series, Unit::Seconds, book.given("servers")),
+            )
+            .limit(Limit::Letter(book.given("delivery-ms") / 1000.0))
+            .by(list)
+            .answer("a whole list taken in by pieces: missing"),
+        );
+    }
+    let changes = book.given("changes-busiest-minute") / 60.0;
+    rows.push(
+        Row::new(
+            "processor for lists of one entry",
+            "busiest minute",
+            Unit::Cores,
+            changes * book.at("list-one", Unit::Seconds, book.given("servers")),
+        )
+        .limit(Limit::Letter(book.given("control-core")))
+        .by(list),
+    );
+    rows.push(
+        Row::new(
+            "standing connections told to move, when a balancer is emptied",
+            "restart without a successor",
+            Unit::Rate,
+            stand
+                / (book.code("src/net/service/mod.rs", "EMPTY_BY")
+                    - book.code("src/net/service/mod.rs", "ARRIVALS")),
+        )
+        .by(Mechanism::Is("crates/service/src/pace.rs", "pub struct")),
+    );
+    rows
+}
+
+/// New connections a second at one balancer while all of them come again once, over the time a release takes.
+fn arrivals_release(book: &Book) -> Figure {
+    arrivals(book) + connections(book) / (book.given("release-minutes") * 60.0)
+}
+
+/// Assumptions, or the letter's figures, as a table.
+pub fn given_table(given: &BTreeMap<String, Given>, assumed: bool) -> String {
+    let mut text = String::from(match assumed {
+        true => "| name | value | unit | why | asked under |\n| --- | --- | --- | --- | --- |\n",
+        false => "| name | value | unit | where |\n| --- | --- | --- | --- |\n",
+    });
+    for (name, given) in given {
+        let _ = write!(
+            text,
+            "| {name} | {} | {} | {} |",
+            digits(given.value),
+            given.unit,
+            given.why
+        );
+        if assumed {
+            let _ = write!(text, " {} |", given.asked.as_deref().unwrap_or("not asked"));
+        }
+        text.push('\n');
+    }
+    text
+}
+
+/// All series with what they are and what makes them.
+pub fn series_table(book: &Book) -> String {
+    let mut text = String::from(
+        "| series | what | by | sizes and fit | runs | command |\n| --- | --- | --- | --- | --- | --- |\n",
+    );
+    for (name, series) in &book.measured.0 {
+        let _ = writeln!(
+            text,
+            "| `{name}` | {} | {} | {} | {} | `{}` |",
+            series.what,
+            series.size,
+            describe(series, 0.0),
+            series.runs,
+            series.command
+        );
+    }
+    text
+}
--- /dev/null
+++ b/crates/fleet-rig/src/capacity/rank.rs
@@ -0,0 +1,77 @@
+//! Which rows are over, and which cannot be done at all.
+
+use super::book::Book;
+use super::figure::digits;
+use super::row::Row;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+/// From this share of its limit on a row is named as near it.
+const NEAR: f64 = 0.5;
+
+type Groups<'a> = &'a [(&'static str, Vec<Row>)];
+
+/// Rows by how far they pass a limit: first what cannot be done, by a bound of the code or for want of anything that
+/// does it, then what is over, then what is near.
+pub fn table(book: &Book, groups: Groups) -> String {
+    let mut ranked: Vec<(u8, f64, &str, &Row)> = Vec::new();
+    for (name, rows) in groups {
+        for row in rows {
+            let times = row.times().unwrap_or(0.0);
+            let class = match () {
+                () if row.cannot() || times.is_infinite() => 0,
+                // What follows is the answer itself, not a need of its own.
+                () if row.is_missing(book) && !name.ends_with("-follow") => 1,
+                () if times > 1.0 => 2,
+                () if times > NEAR => 3,
+                () => continue,
+            };
+            ranked.push((class, times, name, row));
+        }
+    }
+    ranked.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+    let mut text = String::from(
+        "| | table | row | when | comes to | how far | what answers it |\n| --- | --- | --- | --- | --- | --- | --- |\n",
+    );
+    for (place, (class, times, name, row)) in ranked.iter().enumerate() {
+        let far = match (class, *times > 0.0) {
+            (0, _) if times.is_infinite() => "never comes about".to_owned(),
+            (0, _) => format!("cannot be done, x{}", digits(*times)),
+            (1, true) => format!("nothing does it; x{}", digits(*times)),
+            (1, false) => "nothing does it".to_owned(),
+            (2, _) => format!("over x{}", digits(*times)),
+            _ => format!("near, x{}", digits(*times)),
+        };
+        let answer = match row.answer {
+            "" => row.carried(book),
+            answer => answer.to_owned(),
+        };
+        let _ = writeln!(
+            text,
+            "| {} | {name} | {} | {} | {} | {far} | {answer} |",
+            place + 1,
+            row.what,
+            row.when,
+            row.comes_to()
+        );
+    }
+    text
+}
+
+/// What is not measured, and in how many rows it is lacking.
+pub fn lacking(groups: Groups) -> String {
+    let mut lacking: BTreeMap<String, usize> = BTreeMap::new();
+    for row in groups.iter().flat_map(|(_, rows)| rows) {
+        for what in row.lacks() {
+            *lacking.entry(what).or_default() += 1;
+        }
+    }
+    if lacking.is_empty() {
+        return "Every row has its figure.\n".to_owned();
+    }
+    let mut text = String::from("| lacking | rows |\n| --- | --- |\n");
+    for (what, rows) in lacking {
+        let _ = writeln!(text, "| `{what}` | {rows} |");
+    }
+    text
+}
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -2,6 +2,7 @@
 //! processes on loopback, with faults from a seed, and a judge who knows the truth.
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod charts;
 pub mod judge;
 pub mod measure;
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -1,7 +1,7 @@
 //! Long runs and measurements of the fleet.
 
 use clap::{Parser, Subcommand};
-use spanspur_fleet_rig::{Plan, measure, soak};
+use spanspur_fleet_rig::{Plan, capacity, measure, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -45,6 +45,15 @@
         #[arg(long, value_parser = |text: &str| u64::from_str_radix(text, 16))]
         watch: Option<u64>,
     },
+    /// The size of two years: writes the tables of docs/CAPACITY.md from the measured series and the assumptions.
+    Capacity {
+        /// The workspace.
+        #[arg(default_value = ".")]
+        root: PathBuf,
+        /// Writes nothing: fails where the page is not what the data comes to.
+        #[arg(long)]
+        check: bool,
+    },
     /// Costs and take-over times: data, a table and charts.
     Measure {
         #[arg(default_value = "docs/measured")]
@@ -102,6 +111,13 @@
             }
             verdict.sound()
         }
+        Command::Capacity { root, check } => match capacity::run(&root, check) {
+            Ok(()) => true,
+            Err(what) => {
+                eprintln!("{what}");
+                false
+            }
+        },
         Command::Measure { folder } => match measure::run(&folder) {
             Ok(()) => true,
             Err(what) => {
