Wait out the line at a new discovery, and keep the module's pauses after a reload

Cause, two lines of src/net/director.rs: - follow(), `timeout(wait + SILENCE, ...)`: the call for the whole list, made after a reload, has no wait and so got 1 s in all. Each connection was up within 2 ms; discovery handles one call at a time, about 0.4 s each, and all six balancers come 0.4 s apart. From the fourth on they gave up at 1.0 s, lost their place and asked again: 8 to 10 calls in a row. - run(), `host.watch.notified()`: a wish that was stored while a call ran (the reload's own, then the timer of each pause, over before the next call failed) began the next call at once: the module's pauses were skipped until one was longer than a call.

Ruled out: descriptors (no EMFILE, connections up at once, calls answered 503 or not at all); connections that come up late; a reload in the module's pause (the reload's wish wakes run() at once); a new discovery refusing; attempts that connect late and reopens (fetch looks at the list again, reopens go on in kind); back-off from before the reload (reset by settings).

Change: a call for the whole list has 3 s (LINE), half of the 6 s; where an agent pushes, with one caller, 1 s as before. A stored wish is void once the call that it was for has failed. Calls to discovery are logged at debug level.

--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -9,6 +9,7 @@
 use spanspur::list::List;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -21,6 +22,9 @@
 /// misses counts as told after 6 s, and where all fall silent at once the next call is turned away, maybe the one
 /// after it too: half of that time is for asking again.
 const SILENCE: Duration = Duration::from_millis(1000);
+/// A call for the whole list stands in line at discovery, which handles one call at a time, and all balancers ask after
+/// a reload: one that is given up sooner has lost its place and makes the line longer. Half of those 6 s.
+const LINE: Duration = Duration::from_secs(3);
 
 /// Connecting to discovery takes no longer than this.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -64,6 +68,8 @@
                         continue;
                     }
                     tracing::info!(what, discovery = %at, "the watch on discovery ends");
+                    // A wish from before was met by the call that has failed: the pause from here on is the module's.
+                    pin!(host.watch.notified()).enable();
                     host.event(Event::ListFailed);
                     break;
                 }
@@ -108,7 +114,13 @@
             }
             None => ("/api/targets".to_owned(), Duration::ZERO),
         };
-        let call = timeout(wait + SILENCE, call(&mut kept, at, &path)).await;
+        // An agent has one caller, so nobody stands in line there.
+        let patience = match listed {
+            None if !host.pushed() => LINE,
+            _ => wait + SILENCE,
+        };
+        tracing::debug!(path, "calls discovery");
+        let call = timeout(patience, call(&mut kept, at, &path)).await;
         let call = call.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let list = call
             .map_err(|e| e.to_string())
--- a/tests/sockets/watch.rs
+++ b/tests/sockets/watch.rs
@@ -112,6 +112,50 @@
     assert!(silent.elapsed() < TOLD, "{:?}", silent.elapsed());
 }
 
+#[test]
+fn after_a_reload_the_line_at_the_new_discovery_is_waited_out() {
+    let (old, new) = (Backend::new("d-1"), Backend::new("d-2"));
+    let backend = Backend::new("s-1");
+    let balancer = Balancer::start_as(old.at(), &[backend.entry("SERVING")], &[SELDOM]);
+    let _left = old.call();
+    // All balancers are sent there, and it handles one call at a time: this one's turn comes after 2 s.
+    balancer.reload(&new.at().to_string());
+    let (mut watch, call) = new.call();
+    let asked = Instant::now();
+    assert!(call.starts_with("GET /api/targets HTTP"), "{call}");
+    assert!(
+        new.is_left_alone(Duration::from_secs(2)),
+        "its place is given up after {:?}",
+        asked.elapsed()
+    );
+    watch.say(&http(&list(7, true, &[backend.entry("DRAINING")])));
+    assert_drain_known(&balancer, &new, &mut watch, 0x61);
+    assert!(asked.elapsed() < TOLD, "{:?}", asked.elapsed());
+}
+
+#[test]
+fn after_a_reload_each_failed_call_is_followed_by_its_pause() {
+    let (old, new) = (Backend::new("d-1"), Backend::new("d-2"));
+    let backend = Backend::new("s-1");
+    let balancer = Balancer::start_as(old.at(), &[backend.entry("SERVING")], &[SELDOM]);
+    let _left = old.call();
+    balancer.reload(&new.at().to_string());
+    let (mut called, _) = new.call();
+    for n in 0..3 {
+        // Longer than the pause before, whose end must not count for the one to come.
+        assert!(new.is_left_alone(Duration::from_secs(2)), "call {n}");
+        let ended = Instant::now();
+        called.say("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+        (called, _) = new.call();
+        // Half of a thirty-second of the time that the settings give for asking, at least.
+        let pause = ended.elapsed();
+        assert!(pause >= Duration::from_millis(150), "call {n}: {pause:?}");
+        assert!(pause < TOLD / 2, "call {n}: {pause:?}");
+    }
+    called.say(&http(&list(2, true, &[backend.entry("DRAINING")])));
+    assert_drain_known(&balancer, &new, &mut called, 0x71);
+}
+
 #[test]
 fn odd_answers_leave_the_last_good_list_and_are_asked_again() {
     let (discovery, backend) = (Backend::new("d-1"), obliging("s-1"));
