Hold no buffer and no argument twice in the future that serves a client

The array is read into a name before the match. `relay`, `resume` and `pass` are functions that give a future, so that what is only needed to begin is gone once it runs; an `async fn` holds its arguments twice. Giving a connection away has a box of its own, and `open` takes its opening in the box that it comes in. No step of the relay is changed.

--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -203,139 +203,143 @@
     reported: bool,
 }
 
-/// Passes lines between a client and its backend until the connection is over.
-pub async fn relay(
+/// Passes lines between a client and its backend until the connection is over. What is only needed to begin is gone
+/// by then: an `async fn` would hold it for as long as the connection stands.
+pub fn relay(
     host: Rc<Host>,
-    mut stands: Stands,
+    mut stands: Box<Stands>,
     client: TcpStream,
     backend: Backend,
     orders: UnboundedReceiver<Order>,
-) {
+) -> impl Future<Output = ()> {
     stands.down = [backend.answer.as_bytes(), b"\r\n", &backend.rest].concat();
     let mut relay = Relay::new(host, &stands);
     let (up, mut down) = (Flow::new(Vec::new()), Flow::new(stands.down));
     // The first line is the answer, not a reply to a line.
     let lines = down.fresh();
     relay.backend_said(&down.buf, &lines, 1);
-    pass(relay, up, down, client, backend.stream, orders).await;
+    pass(relay, up, down, client, backend.stream, orders)
 }
 
 /// Goes on with a connection that stood at another process.
-pub async fn resume(
+pub fn resume(
     host: Rc<Host>,
     stands: Stands,
     client: TcpStream,
     backend: TcpStream,
     orders: UnboundedReceiver<Order>,
-) {
+) -> impl Future<Output = ()> {
     let relay = Relay::new(host, &stands);
     let (mut up, mut down) = (Flow::new(stands.up), Flow::new(stands.down));
     // The other process has heard these lines.
     drop((up.fresh(), down.fresh()));
-    pass(relay, up, down, client, backend, orders).await;
+    pass(relay, up, down, client, backend, orders)
 }
 
-async fn pass(
+fn pass(
     mut relay: Relay,
     mut up: Flow,
     mut down: Flow,
     client: TcpStream,
     backend: TcpStream,
     mut orders: UnboundedReceiver<Order>,
-) {
-    // The end of one side; from then on the other has its time to end too.
-    let mut linger: Option<Instant> = None;
-    let mut up_dead = false;
-    loop {
-        let wake = linger.unwrap_or_else(|| relay.watch_until(&down));
-        tokio::select! {
-            biased;
-            order = orders.recv() => match order {
-                // Its backend has said its last word, or has ended, maybe in the middle of a line: that goes on in kind.
-                Some(Order::Move) if relay.last_word.is_some() || down.ended => {
-                    relay.over(relay.last_word.unwrap_or(Outcome::Reset));
-                    linger.get_or_insert_with(|| Instant::now() + LAST_WORD);
-                }
-                Some(Order::Move) if !relay.told => {
-                    relay.over(Outcome::Cancelled);
-                    leave(&mut down, &backend, &mut linger);
-                    up_dead = true;
-                }
-                // The module may have asked to move what has just ended.
-                Some(Order::Move) => {}
-                Some(Order::Give) => {
-                    // What is about to end, ends here.
-                    let whole = linger.is_none() && !up.ended && !down.ended;
-                    if whole && relay.given(&up, &down, &client, &backend).await {
-                        return relay.gone();
+) -> impl Future<Output = ()> {
+    // A block: an `async fn` holds its arguments twice.
+    async move {
+        // The end of one side; from then on the other has its time to end too.
+        let mut linger: Option<Instant> = None;
+        let mut up_dead = false;
+        loop {
+            let wake = linger.unwrap_or_else(|| relay.watch_until(&down));
+            tokio::select! {
+                biased;
+                order = orders.recv() => match order {
+                    // Its backend has said its last word, or has ended, maybe in the middle of a line: that goes on in kind.
+                    Some(Order::Move) if relay.last_word.is_some() || down.ended => {
+                        relay.over(relay.last_word.unwrap_or(Outcome::Reset));
+                        linger.get_or_insert_with(|| Instant::now() + LAST_WORD);
                     }
-                }
-                Some(order) => {
-                    check::holds(false, "a standing connection gets no order but to move");
-                    tracing::warn!(?order, "for a standing connection");
-                }
-                None => return,
-            },
-            step = down.step(&backend, &client) => match step {
-                Ok(Step::Read) => {
-                    let lines = down.fresh();
-                    relay.backend_said(&down.buf, &lines, 0);
-                }
-                Ok(Step::Wrote) => {}
-                Ok(Step::End) => {
-                    relay.over(relay.last_word.unwrap_or(Outcome::Reset));
-                    if up.shut {
-                        return;
+                    Some(Order::Move) if !relay.told => {
+                        relay.over(Outcome::Cancelled);
+                        leave(&mut down, &backend, &mut linger);
+                        up_dead = true;
                     }
-                    linger.get_or_insert_with(|| Instant::now() + LINGER);
-                }
-                Err(Broken::From) if relay.last_word.is_some() || relay.told => {
-                    // After its last word or ours, the manner of the end says nothing more.
-                    down.ended = true;
-                    down.ready = down.buf.len();
-                }
-                Err(Broken::From) => {
-                    relay.over(Outcome::Reset);
-                    return reset(&client);
-                }
-                Err(Broken::To) => {
-                    relay.gone();
-                    return reset(&backend);
-                }
-            },
-            step = up.step(&client, &backend), if !up_dead => match step {
-                Ok(Step::Read) => relay.pending_asks += up.fresh().len(),
-                Ok(Step::Wrote) => {
-                    if up.ready == 0 {
-                        relay.asked_all();
+                    // The module may have asked to move what has just ended.
+                    Some(Order::Move) => {}
+                    Some(Order::Give) => {
+                        // What is about to end, ends here.
+                        let whole = linger.is_none() && !up.ended && !down.ended;
+                        if whole && Box::pin(relay.given(&up, &down, &client, &backend)).await {
+                            return relay.gone();
+                        }
                     }
-                }
-                Ok(Step::End) => {
-                    relay.gone();
-                    if down.shut {
+                    Some(order) => {
+                        check::holds(false, "a standing connection gets no order but to move");
+                        tracing::warn!(?order, "for a standing connection");
+                    }
+                    None => return,
+                },
+                step = down.step(&backend, &client) => match step {
+                    Ok(Step::Read) => {
+                        let lines = down.fresh();
+                        relay.backend_said(&down.buf, &lines, 0);
+                    }
+                    Ok(Step::Wrote) => {}
+                    Ok(Step::End) => {
+                        relay.over(relay.last_word.unwrap_or(Outcome::Reset));
+                        if up.shut {
+                            return;
+                        }
+                        linger.get_or_insert_with(|| Instant::now() + LINGER);
+                    }
+                    Err(Broken::From) if relay.last_word.is_some() || relay.told => {
+                        // After its last word or ours, the manner of the end says nothing more.
+                        down.ended = true;
+                        down.ready = down.buf.len();
+                    }
+                    Err(Broken::From) => {
+                        relay.over(Outcome::Reset);
+                        return reset(&client);
+                    }
+                    Err(Broken::To) => {
+                        relay.gone();
+                        return reset(&backend);
+                    }
+                },
+                step = up.step(&client, &backend), if !up_dead => match step {
+                    Ok(Step::Read) => relay.pending_asks += up.fresh().len(),
+                    Ok(Step::Wrote) => {
+                        if up.ready == 0 {
+                            relay.asked_all();
+                        }
+                    }
+                    Ok(Step::End) => {
+                        relay.gone();
+                        if down.shut {
+                            return;
+                        }
+                        linger.get_or_insert_with(|| Instant::now() + LINGER);
+                    }
+                    Err(Broken::From) => {
+                        relay.gone();
+                        return reset(&backend);
+                    }
+                    // The other direction tells how the backend ended; it may hold lines to pass on still.
+                    Err(Broken::To) => up_dead = true,
+                },
+                // After a move or the backend's end, all that the client can still do is to end its side.
+                end = discard(&client), if up_dead && down.shut => return end,
+                () = sleep_until(wake) => {
+                    if linger.is_some() {
                         return;
                     }
-                    linger.get_or_insert_with(|| Instant::now() + LINGER);
-                }
-                Err(Broken::From) => {
-                    relay.gone();
-                    return reset(&backend);
-                }
-                // The other direction tells how the backend ended; it may hold lines to pass on still.
-                Err(Broken::To) => up_dead = true,
-            },
-            // After a move or the backend's end, all that the client can still do is to end its side.
-            end = discard(&client), if up_dead && down.shut => return end,
-            () = sleep_until(wake) => {
-                if linger.is_some() {
-                    return;
-                }
-                if relay.silent(&down) {
-                    // The client can go elsewhere at once; the connection is not coming back.
-                    check::count("a backend fell silent");
-                    relay.over(Outcome::Reset);
-                    leave(&mut down, &backend, &mut linger);
-                    up_dead = true;
+                    if relay.silent(&down) {
+                        // The client can go elsewhere at once; the connection is not coming back.
+                        check::count("a backend fell silent");
+                        relay.over(Outcome::Reset);
+                        leave(&mut down, &backend, &mut linger);
+                        up_dead = true;
+                    }
                 }
             }
         }
@@ -354,8 +358,9 @@
 /// the last line with it.
 pub async fn discard(stream: &TcpStream) {
     while stream.readable().await.is_ok() {
-        // Large, for whoever sends on and on, and not kept while waiting.
-        match stream.try_read(&mut [0; 16 * 1024]) {
+        // Large, for whoever sends on and on. Named here: in the head of the match it would live over the await.
+        let read = stream.try_read(&mut [0; 16 * 1024]);
+        match read {
             Ok(0) => return,
             // Who sends on and on does not keep the others waiting.
             Ok(_) => yield_now().await,
--- a/src/net/req.rs
+++ b/src/net/req.rs
@@ -42,6 +42,9 @@
 /// Without a time to come again.
 const BUSY: &str = "BUSY\r\n";
 
+#[cfg(test)]
+mod tests;
+
 /// Serves one connection of a client, to its end.
 pub async fn serve(host: Rc<Host>, client: TcpStream, mut place: Place, mut reader: Reader) {
     // Lines are short and waited for: none is held back for more to come.
@@ -79,14 +82,14 @@
             if !place.serve(host.sockets()) {
                 return turn_away(&host, &client).await;
             }
-            open(&host, &client, *opening).await
+            open(&host, &client, opening).await
         }
         First::Unread(what) => unread(what),
     };
     let answer = match opened {
         Opened::Left => return,
         Opened::Stands(ticket, stands, backend, orders) => {
-            relay(host, *stands, client, backend, orders).await;
+            relay(host, stands, client, backend, orders).await;
             return drop(ticket);
         }
         Opened::Answer(line) => line,
@@ -265,7 +268,7 @@
     }
 }
 
-async fn open(host: &Rc<Host>, client: &TcpStream, mut opening: Opening) -> Opened {
+async fn open(host: &Rc<Host>, client: &TcpStream, mut opening: Box<Opening>) -> Opened {
     // Nobody is kept longer than its class waits, whatever it says; an open connection has longer.
     let longest = match opening.at {
         Some(_) => REOPEN,
--- /dev/null
+++ b/src/net/req/tests.rs
@@ -0,0 +1,27 @@
+//! What a client costs for as long as its connection stands.
+
+use super::*;
+
+/// Bytes that the runtime allocates for each client at once and keeps to its end: the future that serves it. What is
+/// held across an await is in it, whether that branch is ever taken or not: a buffer does not belong there, a rare and
+/// large step goes into a box of its own.
+const CLIENT: usize = 1700;
+
+/// The size of the future that a function of four gives.
+fn size_of_future<A, B, C, D, F: Future>(_: impl FnOnce(A, B, C, D) -> F) -> usize {
+    size_of::<F>()
+}
+
+#[test]
+fn a_client_costs_no_buffer_while_it_waits() {
+    let bytes = size_of_future(serve);
+    assert!(bytes <= CLIENT, "{bytes} bytes for each client");
+}
+
+#[test]
+fn a_client_that_was_handed_over_costs_no_more() {
+    let bytes = size_of_future(|host, stands, (client, backend), place| {
+        go_on(host, stands, client, backend, place)
+    });
+    assert!(bytes <= CLIENT, "{bytes} bytes for each client");
+}
