Store the flat cluster's series from 25 to 600 instances, with its table and charts

Change: docs/measured/scale.json holds nine series (bytes, datagrams, processor, memory, join with its processor and bytes, put-off, news), scale-flat.json every run; the page also says where the formats end by themselves, worked out with the board's, the sealing's and the encoder's own code.

--- a/crates/fleet-rig/src/scale.rs
+++ b/crates/fleet-rig/src/scale.rs
@@ -6,10 +6,12 @@
 use crate::meter::{Meter, resident, thread_ns};
 use crate::series::{Measured, Series};
 use crate::sockets;
-use crate::world::{Plan, World};
+use crate::world::{Plan, World, name};
 use clap::Args as Arguments;
 use serde::{Deserialize, Serialize};
-use spanspur_duties::board::Entry;
+use spanspur_duties::board::{Entry, MAX_VALUE, News};
+use spanspur_duties::{Board, InstanceId};
+use spanspur_membership::{Key, Keys, Sessions};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
@@ -20,6 +22,8 @@
 pub const VALUE: usize = 64;
 /// A key of the news; those of the standing entries lie below.
 pub const NEWS_KEY: u64 = 1 << 32;
+/// The letter's balancers.
+const MOST: usize = 2100;
 /// Runs up to this size are repeated.
 const REPEATED: usize = 300;
 /// The letter's limits for control at a balancer: bytes a second, processor time (us a second), memory (bytes); and a
@@ -358,7 +362,7 @@
 type Value = fn(&Point) -> Option<f64>;
 
 /// The series, by name: what each says, its unit, and its value of a run.
-const SERIES: [(&str, &str, &str, Value); 7] = [
+const SERIES: [(&str, &str, &str, Value); 9] = [
     (
         "flat-bytes",
         "Bytes sent by one instance at rest",
@@ -396,6 +400,18 @@
         "datagrams",
         |p| p.join_s.map(|_| p.put_off as f64),
     ),
+    (
+        "flat-join-cpu",
+        "Processor time of one instance's node in all, from a start of everybody until all see all",
+        "us",
+        |p| p.join_s.map(|_| p.join_cpu_us),
+    ),
+    (
+        "flat-join-bytes",
+        "Bytes sent by one instance in all, from a start of everybody until all see all",
+        "B",
+        |p| p.join_s.map(|_| p.join_bytes),
+    ),
     (
         "flat-news",
         "From a change at one instance until all have it, the slowest of three",
@@ -477,6 +493,25 @@
     text +=
         "\n![Share of the letter's limits](scale-limits.svg)\n\n![All see all](scale-join.svg)\n\n";
     troubles(&mut text, flat)?;
+    let held = largest(MOST, |n| sessions_held(n - 1));
+    write!(
+        text,
+        "\n## Ends by the formats alone\n\nOf the board's, the sealing's and the encoder's own code, without a cluster.\n\n\
+         - An instance holds sessions with all others up to {held} instances; at {MOST} with {} of {}.\n",
+        sessions_held(MOST - 1),
+        MOST - 1
+    )?;
+    for value in [VALUE, 200, MAX_VALUE] {
+        let reached = |n: usize| news_reaches(n, value);
+        writeln!(
+            text,
+            "- One entry of {value} bytes leaves its publisher for all others up to {} instances; at {MOST} for {} of \
+             {}, and the rest wait for a comparison.",
+            largest(MOST, reached),
+            reached(MOST),
+            MOST - 1
+        )?;
+    }
     if !real.is_empty() {
         write!(
             text,
@@ -529,9 +564,9 @@
 fn troubles(text: &mut String, points: &Points) -> std::fmt::Result {
     *text += "Sums over all instances of a size's first run. 'Seen': the share of ordered pairs of which the one sees the \
               other at the end of the wait and of the rest; 'wrongly down': times that a live instance was held for gone, \
-              until all see all (or the wait is over) and in the 20 s at rest.\n\n\
+              until all see all (or the wait is over) and at rest.\n\n\
               | instances | seen | wrongly down | put off at rest | start, kB sent by one | start, CPU of one, ms | \
-              news: share after 60 s | counters of the whole run |\n\
+              news: share that has it | counters of the whole run |\n\
               | --- | --- | --- | --- | --- | --- | --- | --- |\n";
     for (size, points) in points {
         let Some(p) = points.iter().min_by_key(|p| p.seed) else {
@@ -556,3 +591,54 @@
     }
     Ok(())
 }
+
+/// Of a cluster of so many, how many instances one piece of news leaves its publisher for: directly, and as those that
+/// the first ones are to pass it on to. A datagram that cannot be sealed takes its whole part with it.
+pub fn news_reaches(instances: usize, value: usize) -> usize {
+    let id = |i: usize| InstanceId::of(&name(i));
+    let mut others: Vec<InstanceId> = (1..instances).map(id).collect();
+    others.sort();
+    let entry = Entry {
+        key: NEWS_KEY,
+        version: 1,
+        value: vec![9; value],
+    };
+    let sessions = sessions(0);
+    let mut reached = 0;
+    for (_, news) in Board::default().publish(vec![entry], &others) {
+        let News::Entries(_, on) = &news else {
+            continue;
+        };
+        let part = 1 + on.len();
+        // What a node puts in front says in one byte that it is the board's.
+        let body = [vec![2], postcard::to_stdvec(&news).unwrap_or_default()].concat();
+        // An answer is as large as any other datagram and needs no session.
+        reached += sessions.answer(1, &body).map_or(0, |_| part);
+    }
+    reached
+}
+
+/// Of so many others that answer a greeting, with how many an instance has a session then.
+pub fn sessions_held(others: usize) -> usize {
+    let mut mine = sessions(0);
+    let held = (1..=others).filter(|i| {
+        let answer = sessions(*i).answer(BOOT, b"").unwrap_or_default();
+        mine.open(&answer).is_ok()
+    });
+    held.count()
+}
+
+const BOOT: u64 = 1;
+
+fn sessions(i: usize) -> Sessions {
+    let keys = Keys(vec![Key::new(b"a secret of the rig")]);
+    Sessions::new(InstanceId::of(&name(i)).0, BOOT, keys)
+}
+
+/// The largest cluster up to a size whose every instance is reached so.
+fn largest(up_to: usize, reached: impl Fn(usize) -> usize) -> usize {
+    (2..=up_to)
+        .take_while(|n| reached(*n) == n - 1)
+        .last()
+        .unwrap_or(1)
+}
--- a/crates/fleet-rig/tests/scale.rs
+++ b/crates/fleet-rig/tests/scale.rs
@@ -79,7 +79,7 @@
     runs.values().flatten().for_each(sane);
     let sizes: Vec<(usize, usize)> = runs.iter().map(|(n, runs)| (*n, runs.len())).collect();
     assert_eq!(sizes, [(8, 2), (20, 2), (60, 2)], "of both commands");
-    let names = "bytes datagrams cpu memory join put-off news".split(' ');
+    let names = "bytes datagrams cpu memory join join-cpu join-bytes put-off news".split(' ');
     for name in names.map(|name| format!("flat-{name}")) {
         let series = &measured[&name];
         assert_eq!(series.points.len(), 3, "{name}");
@@ -97,6 +97,20 @@
     assert!(page.contains("\n| 60 | 2 | ") && chart.contains("flat-memory"));
 }
 
+#[test]
+fn the_formats_end_where_their_bounds_say() {
+    // By the code: 1,024 senders; and an eighth of the others named, with up to 10 bytes each, in 1,350 with the entry.
+    assert_eq!(scale::sessions_held(1024), 1024);
+    assert_eq!(scale::sessions_held(1100), 1024);
+    let left_out = |n: usize| n - 1 - scale::news_reaches(n, 64);
+    assert_eq!(left_out(900), 0);
+    assert!(
+        scale::news_reaches(900, 512) < 899,
+        "a larger entry leaves less room"
+    );
+    assert!(left_out(1200) > 0 && left_out(2100) > left_out(1200));
+}
+
 #[test]
 fn what_cannot_come_about_has_no_figure() {
     // Nothing arrives.
