--- a/crates/fleet-rig/src/scale.rs
+++ b/crates/fleet-rig/src/scale.rs
@@ -517,7 +517,7 @@
             text,
             "\n## Over loopback sockets\n\nThe same instances in real time, each with the balancer's driver on a socket \
              of its own, all on one thread: its whole processor time is theirs, the kernel's part with it. Who sees whom is \
-             looked at once a second.\n\n{HEAD}"
+             looked at once a second; 'wrongly down' and the rig's part are not counted here.\n\n{HEAD}"
         )?;
         for (size, points) in real {
             row(&mut text, *size, points)?;
