Say why the relay's future is written as a block, where the lint asks

The lint is expected at `pass`, with the reason in its place: an `async fn` holds its arguments twice.

--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -236,6 +236,10 @@
     pass(relay, up, down, client, backend, orders)
 }
 
+#[expect(
+    clippy::manual_async_fn,
+    reason = "an `async fn` holds its arguments twice"
+)]
 fn pass(
     mut relay: Relay,
     mut up: Flow,
@@ -244,7 +248,6 @@
     backend: TcpStream,
     mut orders: UnboundedReceiver<Order>,
 ) -> impl Future<Output = ()> {
-    // A block: an `async fn` holds its arguments twice.
     async move {
         // The end of one side; from then on the other has its time to end too.
         let mut linger: Option<Instant> = None;
