Measure the data path in the rig: placements, lists and groups as series

The capacity page works its figures out from measured slopes, and the data path had none.

`data-path` of the rig measures a placement and a list by the module's interface, and a real process between stand-in clients and servers: memory of a standing pair, processor time of a delivery and of an opening. Series go into docs/measured/scale.json; parts can be named.

--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod charts;
+pub mod data_path;
 pub mod judge;
 pub mod measure;
 pub mod real;
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -1,7 +1,7 @@
 //! Long runs and measurements of the fleet.
 
 use clap::{Parser, Subcommand};
-use spanspur_fleet_rig::{Plan, measure, soak};
+use spanspur_fleet_rig::{Plan, data_path, measure, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -50,6 +50,16 @@
         #[arg(default_value = "docs/measured")]
         folder: PathBuf,
     },
+    /// What the data path costs, as series: about two minutes.
+    DataPath {
+        /// The balancer's program, a release build.
+        #[arg(long, default_value = "target/release/spanspur")]
+        program: String,
+        #[arg(long, default_value = "docs/measured/scale.json")]
+        file: PathBuf,
+        /// Only these: placement, list, group, delivery, opening, standing.
+        parts: Vec<String>,
+    },
 }
 
 fn main() -> ExitCode {
@@ -102,6 +112,17 @@
             }
             verdict.sound()
         }
+        Command::DataPath {
+            program,
+            file,
+            parts,
+        } => match data_path::run(&program, &file, &parts) {
+            Ok(()) => true,
+            Err(what) => {
+                eprintln!("{what}");
+                false
+            }
+        },
         Command::Measure { folder } => match measure::run(&folder) {
             Ok(()) => true,
             Err(what) => {
