--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod capacity;
 pub mod charts;
+pub mod data_path;
 pub mod judge;
 pub mod measure;
 pub mod meter;
