--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -9,19 +9,18 @@
     Board, DutyId, Instance, InstanceId, Item, Millis, Now, Output, Permit, Settings,
 };
 use spanspur_membership::seal::{Kind, MAX_DATAGRAM, OVERHEAD, Refusal};
-use spanspur_membership::{Change, Identity, Keys, Membership, Pace, Sessions};
+use spanspur_membership::{Change, Greetings, Identity, Keys, Membership, Pace, Sessions, greet};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// What a datagram may carry.
 const ROOM: usize = MAX_DATAGRAM - OVERHEAD - 16;
-/// Seeds that are not there are greeted so often; in between nothing is sent for want of a session more often.
+/// Seeds that are not there are greeted so often.
 const GREET_EVERY: Millis = 1000;
-const GREET_AGAIN: Millis = 100;
 /// Boards are compared with one other instance so often.
 const COMPARE_EVERY: Millis = 1000;
-/// Greetings answered in that time: a flood of them costs no more.
+/// Greetings answered in a second: a flood of them costs no more.
 const MAX_ANSWERS: u32 = 256;
 
 /// What an instance is told at its start.
@@ -111,11 +110,10 @@
     known: BTreeMap<InstanceId, Identity>,
     alive: Vec<InstanceId>,
     names: BTreeMap<DutyId, String>,
-    greeted: BTreeMap<SocketAddr, Millis>,
+    greetings: Greetings,
     next_greet: Millis,
     next_compare: Millis,
     compared: usize,
-    answers: (Millis, u32),
     effects: Vec<Effect>,
     counters: BTreeMap<&'static str, u64>,
 }
@@ -144,11 +142,10 @@
             known: BTreeMap::new(),
             alive: Vec::new(),
             names: BTreeMap::new(),
-            greeted: BTreeMap::new(),
+            greetings: Greetings::new(MAX_ANSWERS),
             next_greet: now.mono,
             next_compare: now.mono + COMPARE_EVERY,
             compared: 0,
-            answers: (now.mono, 0),
             effects: Vec::new(),
             counters: BTreeMap::new(),
             setup,
@@ -185,15 +182,10 @@
         let (id, boot, fresh) = (InstanceId(opened.from), opened.boot, opened.fresh);
         match opened.kind {
             Kind::Greeting | Kind::Answer => {
-                let Ok(who) = postcard::from_bytes::<Identity>(opened.body) else {
-                    return self.count("garbled");
+                let who = match greet::identity(&opened, &self.setup.me.name) {
+                    Ok(who) => who,
+                    Err(why) => return self.count(why),
                 };
-                if InstanceId::of(&who.name) != id || who.boot != boot {
-                    return self.count("garbled");
-                }
-                if who.name == self.setup.me.name {
-                    return self.count("own-name");
-                }
                 if opened.kind == Kind::Greeting {
                     self.answer(now, from, boot);
                 } else {
@@ -362,30 +354,17 @@
     }
 
     fn greet(&mut self, now: Now, to: SocketAddr) {
-        let last = self.greeted.get(&to).copied();
-        if last.is_some_and(|last| now.mono < last + GREET_AGAIN) {
-            return;
-        }
-        // Bounded: only what was greeted a moment ago matters.
-        self.greeted.retain(|_, at| now.mono < *at + GREET_AGAIN);
-        self.greeted.insert(to, now.mono);
-        let body = postcard::to_stdvec(self.members.me()).unwrap_or_default();
-        if let Some(bytes) = self.sessions.greet(&body) {
+        let me = self.members.me();
+        if let Some(bytes) = self.greetings.greet(now.mono, &self.sessions, me, to) {
             self.effects.push(Effect::Datagram(to, bytes));
         }
     }
 
     fn answer(&mut self, now: Now, to: SocketAddr, run: u64) {
-        if now.mono >= self.answers.0 + GREET_EVERY {
-            self.answers = (now.mono, 0);
-        }
-        self.answers.1 += 1;
-        if self.answers.1 > MAX_ANSWERS {
-            return self.count("greetings-unanswered");
-        }
-        let body = postcard::to_stdvec(self.members.me()).unwrap_or_default();
-        if let Some(bytes) = self.sessions.answer(run, &body) {
-            self.effects.push(Effect::Datagram(to, bytes));
+        let me = self.members.me();
+        match self.greetings.answer(now.mono, &self.sessions, me, run) {
+            Some(bytes) => self.effects.push(Effect::Datagram(to, bytes)),
+            None => self.count("greetings-unanswered"),
         }
     }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -4,14 +4,17 @@
 //! | part | holds |
 //! | --- | --- |
 //! | [`gossip`] | SWIM (Das, Gupta, Motivala, 2002) by the foca library: join, suspicion, refutation, leaving |
+//! | [`greet`] | who is greeted and answered how often, and whether a greeting says who it is |
 //! | [`seal`] | datagrams with a version, a keyed hash, and what makes a replay show |
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod gossip;
+pub mod greet;
 pub mod seal;
 
 pub use gossip::{Change, Membership, Pace};
+pub use greet::Greetings;
 pub use seal::{Key, Keys, Opened, Refusal, Sessions};
 
 use serde::{Deserialize, Serialize};
--- a/crates/membership/src/seal.rs
+++ b/crates/membership/src/seal.rs
@@ -28,9 +28,11 @@
 const TAG: usize = 16;
 /// Numbers that may come out of order.
 const WINDOW: u64 = 1024;
-/// Runs of one sender that are remembered, and senders.
+/// Runs of one sender that are remembered.
 const RUNS: usize = 16;
-const MAX_SENDERS: usize = 1024;
+/// Senders that are remembered. A control instance has to know 2,100 balancers when all the others are gone, each of
+/// them perhaps under the name of the one that it replaced too; a power of two with room for that.
+pub const MAX_SENDERS: usize = 4096;
 /// The shortest secret, in bytes.
 pub const MIN_SECRET: usize = 16;
 
@@ -141,6 +143,8 @@
     boot: u64,
     keys: Keys,
     senders: BTreeMap<u64, Sender>,
+    /// Numbers for one who was forgotten go on above all that were used then.
+    base: u64,
 }
 
 impl Sessions {
@@ -151,6 +155,15 @@
             boot,
             keys,
             senders: BTreeMap::new(),
+            base: 0,
+        }
+    }
+
+    /// Forgets a sender, so that its place is free. What it sent to this run before would open once more if it was
+    /// recorded, and show as a new run of it: only for users to whom an old message said again does no harm.
+    pub fn forget(&mut self, other: u64) {
+        if let Some(sender) = self.senders.remove(&other) {
+            self.base = self.base.max(sender.next);
         }
     }
 
@@ -244,18 +257,17 @@
             return Err(Refusal::Full);
         }
         // Bound to our run: whoever made it has heard from us in it.
-        opened.fresh = self
-            .senders
-            .entry(from)
-            .or_default()
-            .take(kind, boot, count)?;
+        let base = self.base;
+        let sender = self.senders.entry(from).or_default();
+        opened.fresh = sender.take(kind, boot, count, base)?;
         Ok(opened)
     }
 }
 
 impl Sender {
     /// Takes a number of a run: says whether the run is new, or refuses what has come before.
-    fn take(&mut self, kind: Kind, boot: u64, count: u64) -> Result<bool, Refusal> {
+    /// For a new run our own numbers start above `base`.
+    fn take(&mut self, kind: Kind, boot: u64, count: u64, base: u64) -> Result<bool, Refusal> {
         let known = self.runs.iter_mut().find(|run| run.boot == boot);
         // An answer has no number: told twice it says the same.
         if let (Some(_), Kind::Answer) = (&known, kind) {
@@ -281,7 +293,7 @@
         }
         self.runs.push_back(run);
         if self.current.is_none_or(|current| current != boot) {
-            (self.current, self.next) = (Some(boot), 0);
+            (self.current, self.next) = (Some(boot), base);
         }
         Ok(true)
     }
