--- a/crates/distribution/src/follower.rs
+++ b/crates/distribution/src/follower.rs
@@ -29,6 +29,8 @@
 const MAX_LATER: Millis = 60_000;
 /// Pieces of one answer that came out of order are remembered, no more than an answer has.
 const MAX_PENDING: usize = MAX_WINDOW as usize;
+/// Where answers come too late, the next are waited for twice as long, up to so many times as long as at first.
+const MAX_PATIENCE: Millis = 8;
 
 /// How fast a follower asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -90,6 +92,9 @@
     cursor: (u64, u64),
     next_ask: Millis,
     waiting: Option<Waiting>,
+    /// The ask before, whose answer stayed out, and how many times as long as at first the next is waited for.
+    late: u32,
+    patience: Millis,
     misses: u32,
     /// It is silent, and tried again then.
     rests_until: Option<Millis>,
@@ -209,6 +214,8 @@
             cursor: (0, 0),
             next_ask: phase,
             waiting: None,
+            late: 0,
+            patience: 1,
             misses: 0,
             rests_until: None,
             as_of: None,
@@ -441,13 +448,14 @@
         {
             let link = &mut self.links[i];
             link.waiting = None;
+            link.late = waiting.nonce;
             link.misses += 1;
             link.next_ask = now;
             if link.misses >= tries {
                 let again = self.retry_at(now);
                 let link = &mut self.links[i];
                 let slept = link.rests_until.replace(again).is_some();
-                link.misses = 0;
+                (link.misses, link.patience) = (0, 1);
                 if !slept {
                     self.count("sources-silent");
                     self.notice(Notice::Silent(self.sources[i].1.name.clone()));
@@ -471,7 +479,7 @@
 
     /// Asks a source for what is wanted of it now.
     fn ask(&mut self, now: Millis, i: usize) {
-        let until = now + self.setup.pace.answer_within.max(1);
+        let until = now + self.patience(i);
         let (id, address) = (self.sources[i].0, self.sources[i].1.address);
         let mut waiting = Waiting {
             nonce: 0,
@@ -488,6 +496,11 @@
         self.links[i].waiting = Some(waiting);
     }
 
+    /// How long an answer of a source is waited for.
+    fn patience(&self, i: usize) -> Millis {
+        self.setup.pace.answer_within.max(1) * self.links[i].patience
+    }
+
     /// What is wanted of a source now.
     fn want(&mut self, i: usize) -> (Want, Vec<Held>) {
         let Some(catch) = self.catch.as_mut().filter(|catch| catch.link == i) else {
@@ -567,7 +580,11 @@
             }
         }
         self.heard_of(now, i);
-        let Some(waiting) = self.links[i].waiting.filter(|w| w.nonce == answer.nonce) else {
+        let link = &mut self.links[i];
+        let Some(waiting) = link.waiting.filter(|w| w.nonce == answer.nonce) else {
+            if answer.nonce == link.late && link.patience < MAX_PATIENCE {
+                (link.patience, link.late) = (link.patience * 2, 0);
+            }
             return self.count("stale-answer");
         };
         let as_of = answer
@@ -672,7 +689,7 @@
 
     /// More of the same answer is on its way.
     fn more_comes(&mut self, now: Millis, i: usize, last: Option<u64>) {
-        let until = now + self.setup.pace.answer_within.max(1);
+        let until = now + self.patience(i);
         if let Some(waiting) = &mut self.links[i].waiting {
             waiting.until = until;
             waiting.last = last;
--- a/crates/distribution/src/source.rs
+++ b/crates/distribution/src/source.rs
@@ -22,6 +22,9 @@
 pub const FORGET_AFTER: Millis = 24 * 3600 * 1000;
 /// Where the table is nearly full, one that has not been heard for so long is forgotten already.
 pub const FORGET_EARLY: Millis = 60_000;
+/// So long after its start a source has all the followers back that had found it silent: the longest time between
+/// two tries of theirs, and a second.
+pub const SETTLED_AFTER: Millis = 8500;
 /// It is looked so often what is in force.
 pub const TRACK_EVERY: Millis = 250;
 /// A reachable follower that has not confirmed a change after this lags.
@@ -152,6 +155,8 @@
     pub followers: usize,
     /// Of these, the ones whose first source it is and that can be reached.
     pub first: usize,
+    /// It has run for so long that its followers are back; before that what it holds for in force is for now.
+    pub settled: bool,
     /// The last changes, the newest first.
     pub changes: Vec<InForce>,
     /// Reachable first-followers that lag, and the first of them by how long.
@@ -176,6 +181,7 @@
     peers: BTreeMap<u64, Peer>,
     pace: Pace,
     asks: (Millis, u32),
+    started: Millis,
     heard: Option<Millis>,
     tracked: VecDeque<Tracked>,
     next_track: Millis,
@@ -196,6 +202,7 @@
             peers: BTreeMap::new(),
             pace: Pace::new(now, limits.pieces_per_second, limits.burst),
             asks: (now, 0),
+            started: now,
             heard: None,
             tracked: VecDeque::new(),
             next_track: now + TRACK_EVERY,
@@ -257,7 +264,7 @@
                 };
                 // A greeting proves nothing yet: nothing is kept of it.
                 if kind == Kind::Answer
-                    && let Some(peer) = self.peer(now, id)
+                    && let Some(peer) = self.peer(now, id, fresh)
                 {
                     peer.name = who.name;
                 }
@@ -282,7 +289,11 @@
                     return self.count("asks-dropped");
                 }
                 match read {
-                    Ok((ask, held)) => self.asked(now, from, id, &ask, &held),
+                    Ok((ask, held)) => {
+                        if self.peer(now, id, fresh).is_some() {
+                            self.asked(now, from, id, &ask, &held);
+                        }
+                    }
                     Err(why) => self.count(why),
                 }
             }
@@ -368,6 +379,7 @@
             age: self.age(now),
             followers: self.peers.len(),
             first: reachable().count(),
+            settled: self.settled(now),
             changes: changes.collect(),
             lagging,
             laggards,
@@ -377,6 +389,10 @@
         }
     }
 
+    fn settled(&self, now: Millis) -> bool {
+        now >= self.started + SETTLED_AFTER
+    }
+
     fn age(&self, now: Millis) -> Option<Millis> {
         self.heard.map(|at| now.saturating_sub(at))
     }
@@ -404,8 +420,9 @@
         }
     }
 
-    /// What is kept of a follower, now that it was heard; `None` where there is no room for one more.
-    fn peer(&mut self, now: Millis, id: u64) -> Option<&mut Peer> {
+    /// What is kept of a follower, now that it was heard, in a fresh run of it or not; `None` where there is no room
+    /// for one more.
+    fn peer(&mut self, now: Millis, id: u64, fresh: bool) -> Option<&mut Peer> {
         let most = self.setup.limits.max_followers.min(MAX_FOLLOWERS);
         if !self.peers.contains_key(&id) && self.peers.len() >= most {
             self.sessions.forget(id);
@@ -420,6 +437,10 @@
             slot: None,
         });
         peer.heard = now;
+        // In another run it may hold nothing any more.
+        if fresh {
+            peer.acked = 0;
+        }
         Some(peer)
     }
 
@@ -430,7 +451,7 @@
             return self.count("absurd-cursor");
         }
         let same = ask.root == self.store.root();
-        let Some(peer) = self.peer(now, id) else {
+        let Some(peer) = self.peers.get_mut(&id) else {
             return;
         };
         peer.first = ask.first && ask.want != Want::Leave;
@@ -603,8 +624,11 @@
         for peer in firsts {
             (least, of) = (least.min(peer.acked), of + 1);
         }
+        let settled = self.settled(now);
         for change in &mut self.tracked {
-            if change.in_force.is_none() && change.seq <= least {
+            if change.seq > least && !settled {
+                change.in_force = None;
+            } else if change.seq <= least && change.in_force.is_none() {
                 change.in_force = Some((now, of));
             }
         }
--- a/crates/distribution/tests/common/mod.rs
+++ b/crates/distribution/tests/common/mod.rs
@@ -68,6 +68,13 @@
     pub notices: Vec<(Millis, Notice)>,
 }
 
+impl Seen {
+    pub fn changed(&mut self, entry: &Entry) {
+        let before = self.versions.insert(entry.key, entry.version);
+        self.backwards += u64::from(before >= Some(entry.version));
+    }
+}
+
 pub struct Net {
     pub now: Millis,
     pub rng: ChaCha8Rng,
@@ -213,9 +220,7 @@
                 match effect {
                     Effect::Datagram(to, bytes) => self.send(follower_at(i), to, bytes),
                     Effect::Changed(entry) => {
-                        let seen = &mut self.seen[i];
-                        let before = seen.versions.insert(entry.key, entry.version);
-                        seen.backwards += u64::from(before >= Some(entry.version));
+                        self.seen[i].changed(&entry);
                     }
                     Effect::Notice(notice) => self.seen[i].notices.push((self.now, notice)),
                 }
