Clear what came before its turn at each new ask of a follower

Cause: pieces that came out of order were remembered over the ask that they answered; eight of them filled the list and no later piece was counted, so the cursor stood still for ever. Change: the list is cleared with each ask. Checked: 8 tests of cursors and 7 of versions pass; two of them failed before.

--- a/crates/distribution/src/follower.rs
+++ b/crates/distribution/src/follower.rs
@@ -490,6 +490,8 @@
         if self.sessions.run_of(id).is_none() {
             self.greet(now, address);
         } else {
+            // What came before its turn is in the new answer again.
+            self.links[i].pending.clear();
             let (want, held) = self.want(i);
             waiting.nonce = self.say(now, i, want, &held);
         }
