--- /dev/null
+++ b/crates/distribution/tests/versions.rs
@@ -0,0 +1,55 @@
+//! Versions as the claims of today give them are believed, and those beyond are not.
+
+use spanspur_distribution::store::{MAX_VERSION, Store, Unfit};
+use spanspur_duties::board::Entry;
+use spanspur_duties::division::Ranking;
+use spanspur_duties::instance::Settings;
+use spanspur_duties::{DutyId, Instance, InstanceId, Now, Output};
+use std::collections::BTreeMap;
+
+/// The first period that a lone voter gives when its wall clock says this.
+fn first_period(wall: u64) -> u64 {
+    let me = InstanceId(7);
+    let settings = Settings {
+        me,
+        boot: 1,
+        voters: vec![me],
+        skew: 1000,
+        ranking: Ranking(|_, _| 1.0),
+    };
+    let now = |mono: u64| Now {
+        mono,
+        wall: wall + mono,
+    };
+    let mut instance = Instance::new(now(1000), settings);
+    instance.configure(now(1000), &BTreeMap::from([(DutyId(1), 4000)]));
+    for mono in (1000..60_000).step_by(50) {
+        instance.wake(now(mono));
+        for output in instance.outputs() {
+            if let Output::Perform(permit) = output {
+                return permit.period;
+            }
+        }
+    }
+    panic!("no permit within a minute");
+}
+
+#[test]
+fn versions_of_the_claims_are_believed() {
+    // 2026, and the end of 2099.
+    for wall in [1_764_000_000_000, 4_102_444_799_000] {
+        let version = first_period(wall) << 20 | ((1 << 20) - 1);
+        let entry = Entry {
+            key: 1,
+            version,
+            value: vec![1],
+        };
+        let mut store = Store::default();
+        assert_eq!(store.take(&entry), Ok(true), "version {version:x}");
+        let absurd = Entry {
+            version: MAX_VERSION + 1,
+            ..entry
+        };
+        assert_eq!(store.take(&absurd), Err(Unfit::Version));
+    }
+}
