Play the distribution to 2,100 followers in virtual time, with faults and a checker

Need: what the distribution must hold at 9 control instances and 2,100 balancers is shown by runs, not hoped for.

Change: fleet-rig has a world of real nodes, sources and followers in 6 regions and 13 zones, faults from a seed, a checker that judges by what followers hold, and the sized runs under the sub-command distribution; stats_alloc counts memory and rustix reads the thread's processor time.

--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 
 pub mod charts;
+pub mod distribution;
 pub mod judge;
 pub mod measure;
 pub mod real;
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -1,6 +1,6 @@
 //! Long runs and measurements of the fleet.
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
 use spanspur_fleet_rig::{Plan, measure, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -45,6 +45,23 @@
         #[arg(long, value_parser = |text: &str| u64::from_str_radix(text, 16))]
         watch: Option<u64>,
     },
+    /// The distribution from nine control instances to 2,100 balancers, in virtual time.
+    Distribution {
+        /// What to play.
+        #[arg(value_enum, default_value_t = Distribution::All)]
+        part: Distribution,
+        #[arg(long, default_value = "docs/measured")]
+        folder: PathBuf,
+        /// For `seeds`: how many, the first one, and the balancers of each.
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        #[arg(long, default_value_t = 0)]
+        first: u64,
+        #[arg(long, default_value_t = 100)]
+        followers: usize,
+        #[arg(long, default_value_t = 3)]
+        jobs: usize,
+    },
     /// Costs and take-over times: data, a table and charts.
     Measure {
         #[arg(default_value = "docs/measured")]
@@ -52,6 +69,30 @@
     },
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Distribution {
+    /// Every part, one after another: about a quarter of an hour.
+    All,
+    /// Until changes are in force.
+    Delay,
+    /// Costs at rest, by balancers.
+    Cost,
+    /// Memory and time until full, by entries.
+    Entries,
+    /// A region cut off for an hour.
+    Cut,
+    /// The start of many at once.
+    Start,
+    /// Faults from seeds.
+    Seeds,
+    /// The page and the charts anew, from what is there.
+    Page,
+}
+
+/// Counts what the instances keep.
+#[global_allocator]
+static ALLOCATOR: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
 fn main() -> ExitCode {
     let sound = match Cli::parse().command {
         Command::Real {
@@ -102,6 +143,44 @@
             }
             verdict.sound()
         }
+        Command::Distribution {
+            part,
+            folder,
+            seeds,
+            first,
+            followers,
+            jobs,
+        } => {
+            use spanspur_fleet_rig::distribution::measure::{self, Part};
+            let sized = match part {
+                Distribution::All => vec![
+                    Part::Cost,
+                    Part::Entries,
+                    Part::Delay,
+                    Part::Start,
+                    Part::Cut,
+                ],
+                Distribution::Delay => vec![Part::Delay],
+                Distribution::Cost => vec![Part::Cost],
+                Distribution::Entries => vec![Part::Entries],
+                Distribution::Cut => vec![Part::Cut],
+                Distribution::Start => vec![Part::Start],
+                Distribution::Seeds | Distribution::Page => vec![],
+            };
+            let mut played = sized.into_iter().map(|part| measure::run(&folder, part));
+            let sound = match (played.find(Result::is_err), part) {
+                (Some(failed), _) => failed.map(|()| false),
+                (None, Distribution::All | Distribution::Seeds) => {
+                    measure::run_seeds(&folder, first, seeds, followers, jobs)
+                }
+                (None, Distribution::Page) => measure::write_page(&folder).map(|()| true),
+                (None, _) => Ok(true),
+            };
+            sound.unwrap_or_else(|what| {
+                eprintln!("{what}");
+                false
+            })
+        }
         Command::Measure { folder } => match measure::run(&folder) {
             Ok(()) => true,
             Err(what) => {
