Measure a writer's death in the burst, and when a healed region's sources hold all

Need: who dies when the writer does, and what a region's own control instances lack after a cut, were not seen.

Change: a run in which the writer and another control instance die in the burst; the time until the sources of a region that was cut off hold all; a test of the former.

--- a/crates/fleet-rig/src/distribution/measure.rs
+++ b/crates/fleet-rig/src/distribution/measure.rs
@@ -156,6 +156,9 @@
     pub all: f64,
     /// See `all`.
     pub changed: f64,
+    /// From the healing until the region's own control instances hold all, over the board's comparison; `None`: not
+    /// within a minute.
+    pub control: Option<u64>,
     /// What a balancer said of its age at the end of the cut, in ms: the least of the region.
     pub age: u64,
     /// Seconds of ours.
@@ -276,12 +279,23 @@
     all.all(|i| world.full_at[i].is_some())
 }
 
+/// Which control instances die in a run of [`delay`].
+#[derive(Clone, Copy, Debug)]
+pub enum Dead {
+    /// None.
+    Nobody,
+    /// These, half a minute before the first change.
+    Before([usize; 2]),
+    /// The writer and another one, in the middle of the burst.
+    Writer,
+}
+
 /// How long changes take.
 pub fn delay(
     what: &str,
     followers: usize,
     loss: f64,
-    dead: &[usize],
+    dead: Dead,
     minutes: u64,
     seed: u64,
 ) -> Delay {
@@ -294,10 +308,8 @@
     let mut world = rested(plan, seed);
     world.at(world.now, Fault::Network(loss, 0.01, 0.0));
     let mut from = world.now + 1000;
-    for i in dead {
-        world.at(from, Fault::Kill(*i));
-    }
-    if !dead.is_empty() {
+    if let Dead::Before(dead) = dead {
+        dead.iter().for_each(|i| world.at(from, Fault::Kill(*i)));
         from += 30_000;
     }
     let span = minutes * 60_000;
@@ -317,6 +329,12 @@
         };
         world.at(*at, fault);
     }
+    if let Dead::Writer = dead {
+        world.run_until(middle + 30_000);
+        let writer = world.writer().unwrap_or(0);
+        world.at(world.now, Fault::Kill(writer));
+        world.at(world.now, Fault::Kill((writer + 1) % CONTROLS));
+    }
     world.run_until(from + span + 60_000 + 30_000);
     let (mut each, mut everywhere, mut missing) = (Vec::new(), Vec::new(), 0);
     for change in &world.checker.changes {
@@ -483,7 +501,15 @@
     let age = ages.min().unwrap_or(0);
     let before = received(&world);
     world.at(heal, Fault::Heal);
-    world.run_until(heal + 60_000);
+    let mut control = None;
+    for end in (heal + 250..=heal + 60_000).step_by(250) {
+        world.run_until(end);
+        let root = |i: &usize| world.source(*i).map(|source| source.store().root());
+        let mut controls = inside.iter().filter(|i| **i < CONTROLS);
+        if control.is_none() && controls.all(|i| root(i) == root(&writer)) {
+            control = Some(end - heal);
+        }
+    }
     let bytes = (received(&world) - before) as f64 - rest as f64;
     let is_inside: Vec<bool> = {
         let mut set = vec![false; followers];
@@ -514,6 +540,7 @@
         bytes,
         all: (entries * ENTRY) as f64 * many,
         changed: (changes.min(entries) * ENTRY) as f64 * many,
+        control,
         age,
         wall: start.elapsed().as_secs_f64(),
     }
@@ -687,14 +714,19 @@
     match part {
         Part::Delay => {
             let minutes = 10;
-            let plays: [(&str, f64, &[usize]); 4] = [
-                ("1% loss", 0.01, &[]),
-                ("5% loss", 0.05, &[]),
-                ("5% loss, two of the nine dead", 0.05, &[0, 1]),
+            let plays = [
+                ("1% loss", 0.01, Dead::Nobody),
+                ("5% loss", 0.05, Dead::Nobody),
+                ("5% loss, two of the nine dead", 0.05, Dead::Before([0, 1])),
                 (
                     "5% loss, two dead that are both of a region's",
                     0.05,
-                    &[2, 8],
+                    Dead::Before([2, 8]),
+                ),
+                (
+                    "5% loss, the writer and another die in the burst",
+                    0.05,
+                    Dead::Writer,
                 ),
             ];
             let mut delays = Vec::new();
@@ -1109,12 +1141,12 @@
          force at a balancer of the region, in ms. Wanted: the last within 12,000. Bytes: what the region's balancers \
          received in the minute after the healing over what they receive at rest, against what changed and against all \
          entries, each times the region's balancers.\n\n\
-         | | balancers | entries | cut, s | each: p50 / p99 / last | missing | last | bytes | of what changed | of all entries | least age at its end, s | s of ours |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+         | | balancers | entries | cut, s | each: p50 / p99 / last | missing | last | bytes | of what changed | of all entries | its control instances hold all, ms | least age at its end, s | s of ours |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
     for c in &results.cuts {
         writeln!(
             text,
-            "| {} | {} | {} | {} | {} | {} | {} | {:.2} MB | {:.2} times | {:.1}% | {:.0} | {:.0} |",
+            "| {} | {} | {} | {} | {} | {} | {} | {:.2} MB | {:.2} times | {:.1}% | {} | {:.0} | {:.0} |",
             c.what,
             c.followers,
             c.entries,
@@ -1125,6 +1157,8 @@
             c.bytes / 1e6,
             c.bytes / c.changed,
             c.bytes / c.all * 100.0,
+            c.control
+                .map_or("not in 60,000".to_owned(), |ms| ms.to_string()),
             c.age as f64 / 1000.0,
             c.wall
         )?;
--- a/crates/fleet-rig/tests/distribution.rs
+++ b/crates/fleet-rig/tests/distribution.rs
@@ -2,7 +2,7 @@
 
 use spanspur_fleet_rig::distribution::Wrong;
 use spanspur_fleet_rig::distribution::chaos;
-use spanspur_fleet_rig::distribution::measure;
+use spanspur_fleet_rig::distribution::measure::{self, Dead};
 use spanspur_fleet_rig::distribution::world::{CONTROLS, Fault, Plan, Planted, World, key};
 
 /// Followers of the small runs: ten in each region.
@@ -89,7 +89,7 @@
 
 #[test]
 fn a_burst_with_loss_is_in_force_everywhere_in_time() {
-    let delay = measure::delay("5% loss", FOLLOWERS, 0.05, &[], 2, 1);
+    let delay = measure::delay("5% loss", FOLLOWERS, 0.05, Dead::Nobody, 2, 1);
     println!("seed 1: {delay:?}");
     assert_eq!(delay.missing, 0, "not in force everywhere");
     assert!(
@@ -102,13 +102,28 @@
 
 #[test]
 fn two_dead_of_nine_delay_nothing_beyond_the_bounds() {
-    let delay = measure::delay("5% loss, two dead", FOLLOWERS, 0.05, &[2, 8], 2, 1);
+    let delay = measure::delay(
+        "5% loss, two dead",
+        FOLLOWERS,
+        0.05,
+        Dead::Before([2, 8]),
+        2,
+        1,
+    );
     println!("seed 1: {delay:?}");
     assert_eq!(delay.missing, 0, "not in force everywhere");
     assert!(delay.each.p99 <= 3000, "p99");
     assert!(delay.each.last <= 12_000, "last");
 }
 
+#[test]
+fn a_writer_that_dies_in_a_burst_delays_by_no_more_than_its_duty_takes_to_pass_on() {
+    let delay = measure::delay("writer dies", FOLLOWERS, 0.05, Dead::Writer, 2, 1);
+    println!("seed 1: {delay:?}");
+    assert_eq!(delay.missing, 0, "not in force everywhere");
+    assert!(delay.each.last <= 12_000, "last");
+}
+
 #[test]
 fn a_region_that_was_cut_off_gets_what_changed_and_little_more() {
     let [few, many] = [60, 240].map(|changes| {
