--- a/crates/fleet-rig/src/distribution/measure.rs
+++ b/crates/fleet-rig/src/distribution/measure.rs
@@ -574,7 +574,7 @@
     world.run_until(from - 1);
     world.reset_meters();
     let before = world.counters(0..CONTROLS + followers);
-    let mut sent = vec![0; CONTROLS];
+    let mut sent = [0; CONTROLS];
     let count = |world: &World, i: usize| -> u64 {
         let counters = world.counters(i..i + 1);
         counters.get(PIECES).copied().unwrap_or(0)
@@ -944,7 +944,14 @@
         .into_iter()
         .filter_map(|(of, label)| {
             let series = measured.0.get(&format!("{of}-{kind}"))?;
-            Some((label.to_owned(), series.points.clone()))
+            // The flat cluster's series count what is sent alone; all that is sent is received by another one.
+            let both = if of == "flat" && matches!(kind, "bytes" | "datagrams") {
+                2.0
+            } else {
+                1.0
+            };
+            let points = series.points.iter().map(|(n, value)| (*n, value * both));
+            Some((label.to_owned(), points.collect()))
         })
         .collect();
         if lines.is_empty() {
@@ -992,7 +999,7 @@
         "# Distribution, measured\n\nMade by `cargo run --release -p spanspur-fleet-rig -- distribution PART` with PART \
          `delay`, `cost`, `entries`, `cut`, `start` or `seeds`; each replaces its own part of `{FILE}`, from which this \
          page is made. The last run was on {}.\n\n\
-         Virtual time: {WHAT}. A row of the list has {VALUE} bytes. One thread plays all instances of a run, so a \
+         How: {WHAT}. A row of the list has {VALUE} bytes. One thread plays all instances of a run, so a \
          datagram is taken at the moment it arrives, and what a loaded processor adds is not in the delays. The writer \
          holds the permit of the duty `list` (period 4 s) and writes only what differs from discovery's list.\n",
         results.machine
@@ -1103,7 +1110,8 @@
     let fits = ["follow", "control", "flat"]
         .into_iter()
         .flat_map(|of| ["bytes", "datagrams", "cpu", "memory"].map(|kind| format!("{of}-{kind}")));
-    text += "\nSlopes for one more balancer (least squares over the medians):\n\n| series | unit | slope | spread | at 0 | off the line at most |\n| --- | --- | --- | --- | --- | --- |\n";
+    text += "\nSlopes for one more balancer (least squares over the medians; `flat-*` as they are in `scale.json`, where bytes \
+         and datagrams are those sent alone, and memory is the process's; the charts show twice these bytes and datagrams):\n\n| series | unit | slope | spread | at 0 | off the line at most |\n| --- | --- | --- | --- | --- | --- |\n";
     for name in fits {
         let Some(series) = measured.0.get(&name) else {
             continue;
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -1,7 +1,7 @@
 //! Long runs and measurements of the fleet.
 
 use clap::{Parser, Subcommand, ValueEnum};
-use spanspur_fleet_rig::{Plan, measure, soak};
+use spanspur_fleet_rig::{Plan, capacity, measure, scale, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -62,11 +62,22 @@
         #[arg(long, default_value_t = 3)]
         jobs: usize,
     },
+    /// The size of two years: writes the tables of docs/CAPACITY.md from the measured series and the assumptions.
+    Capacity {
+        /// The workspace.
+        #[arg(default_value = ".")]
+        root: PathBuf,
+        /// Writes nothing: fails where the page is not what the data comes to.
+        #[arg(long)]
+        check: bool,
+    },
     /// Costs and take-over times: data, a table and charts.
     Measure {
         #[arg(default_value = "docs/measured")]
         folder: PathBuf,
     },
+    /// What the flat cluster costs at stepped sizes: series, a table and charts.
+    Scale(scale::Args),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -181,16 +192,19 @@
                 false
             })
         }
-        Command::Measure { folder } => match measure::run(&folder) {
-            Ok(()) => true,
-            Err(what) => {
-                eprintln!("{what}");
-                false
-            }
-        },
+        Command::Capacity { root, check } => told(capacity::run(&root, check)),
+        Command::Measure { folder } => told(measure::run(&folder)),
+        Command::Scale(args) => told(scale::run(&args)),
     };
     match sound {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
     }
 }
+
+fn told(done: Result<(), String>) -> bool {
+    if let Err(what) = &done {
+        eprintln!("{what}");
+    }
+    done.is_ok()
+}
