--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod capacity;
 pub mod charts;
 pub mod data_path;
+pub mod distribution;
 pub mod judge;
 pub mod measure;
 pub mod meter;
