--- a/crates/fleet-rig/tests/capacity.rs
+++ b/crates/fleet-rig/tests/capacity.rs
@@ -150,7 +150,7 @@
     // So many topics are larger than a server's room that one more of them would be smaller.
     let over = value(row(&server, "topics larger than one server's room", "all"));
     let sizes = |power: f64| (1..=130_000).map(move |k| 1e6 * f64::from(k).powf(-power));
-    let power = (1e6 / (6000.0 / 0.7) as f64).ln() / (over + 0.5).ln();
+    let power = (1e6_f64 / (6000.0 / 0.7)).ln() / (over + 0.5).ln();
     let off = sizes(power).sum::<f64>() / 120e6;
     assert!(
         (off - 1.0).abs() < 0.01,
