--- a/crates/fleet-rig/src/capacity/control.rs
+++ b/crates/fleet-rig/src/capacity/control.rs
@@ -11,8 +11,8 @@
 
 /// Bytes of a random 64-bit id as a variable-length number: ten for the upper half, nine for nearly all others.
 const ID_BYTES: f64 = 9.5;
-/// `seal::MAX_SENDERS` as it was when the flat cluster was measured; the distribution has raised it since.
-const SENDERS_AS_MEASURED: f64 = 1024.0;
+/// `seal::MAX_SENDERS` before the distribution raised it, as the flat cluster was measured.
+const SENDERS_BEFORE: f64 = 1024.0;
 
 const BOARD_FILE: &str = "crates/duties/src/board.rs";
 const SEAL_FILE: &str = "crates/membership/src/seal.rs";
@@ -93,10 +93,21 @@
     let fanout = || book.code(BOARD_FILE, "FANOUT");
     let ids = (all() - fanout()) / fanout();
     let mut rows = vec![
-        row("sessions with others", "all", Unit::Count, all())
+        row(
+            "sessions with others, before this sitting",
+            "all",
+            Unit::Count,
+            all(),
+        )
+        .limit(Limit::Code(
+            Figure::of(SENDERS_BEFORE),
+            "seal::MAX_SENDERS, as it was",
+        ))
+        .by(SEAL),
+        row("sessions with others, now", "all", Unit::Count, all())
             .limit(Limit::Code(
-                Figure::of(SENDERS_AS_MEASURED),
-                "seal::MAX_SENDERS, as measured",
+                book.code(SEAL_FILE, "MAX_SENDERS"),
+                "seal::MAX_SENDERS",
             ))
             .by(SEAL),
         row(
@@ -148,26 +159,41 @@
         )
         .limit(memory(book)),
     );
-    let ever = |name, unit| book.at_if_ever(name, "flat-bytes", unit, all());
+    // Where its first datagrams do not fit, a change reaches none of those that they would name.
+    let fits = rows[2].times().is_some_and(|times| times <= 1.0);
+    let news = match fits {
+        true => book.at_if_ever("flat-news", "flat-bytes", Unit::Seconds, all()),
+        false => Figure::of(f64::INFINITY).resting_on("ids", "the row on ids above".to_owned()),
+    };
     rows.push(
         row(
-            "until a change is in force everywhere",
+            "until a change is in force everywhere, by news alone",
             "at rest",
             Unit::Seconds,
-            ever("flat-news", Unit::Seconds),
+            news,
         )
         .limit(in_force(book)),
     );
+    let ever = |name, unit| book.at_if_ever(name, "flat-bytes", unit, all());
     let all_start = "release of everything at once";
-    rows.push(
-        row(
-            "until all know of all",
-            all_start,
-            Unit::Seconds,
-            ever("flat-join", Unit::Seconds),
-        )
-        .limit(Limit::Own(Figure::of(300.0), "the rig's wait")),
-    );
+    rows.push(row(
+        "until all know of all",
+        all_start,
+        Unit::Seconds,
+        ever("flat-join", Unit::Seconds),
+    ));
+    rows.push(row(
+        "bytes that one sends until then",
+        all_start,
+        Unit::Bytes,
+        ever("flat-join-bytes", Unit::Bytes),
+    ));
+    rows.push(row(
+        "processor time of one until then",
+        all_start,
+        Unit::Seconds,
+        ever("flat-join-cpu", Unit::Seconds),
+    ));
     rows.push(row(
         "datagrams of all, put off for want of a session",
         all_start,
@@ -360,18 +386,6 @@
         )
         .limit(duties())
         .by(VOTE),
-        Row::new(
-            "members that one is told of",
-            "all",
-            Unit::Count,
-            book.given("balancers"),
-        )
-        .limit(Limit::Code(
-            Figure::of(SENDERS_AS_MEASURED),
-            "seal::MAX_SENDERS, as measured",
-        ))
-        .by(SEAL)
-        .answer(DISTRIBUTION),
     ]
 }
 
--- a/crates/fleet-rig/src/capacity/data.rs
+++ b/crates/fleet-rig/src/capacity/data.rs
@@ -44,8 +44,8 @@
     let memory = || Limit::Own(book.given("balancer-memory") * 1e9, "assumed");
     let zones = book.given("zones");
     let more = zones.clone() / (zones - 1.0);
-    // Processor time a second, by deliveries a second: its slope is the seconds of one delivery.
-    let a_delivery = book.slope("delivery-cpu", Unit::Cores, &deliveries(book));
+    let a_delivery = book.slope("delivery, processor", Unit::Seconds, &deliveries(book));
+    let an_opening = || book.slope("opening, processor", Unit::Seconds, &arrivals(book));
     let mut rows = vec![
         Row::new("connections that stand", "all", Unit::Count, stand.clone()),
         Row::new(
@@ -59,7 +59,7 @@
             "memory of the process for what stands",
             "all",
             Unit::Bytes,
-            stand.clone() * book.slope("standing-memory", Unit::Bytes, &stand),
+            stand.clone() * book.slope("standing, memory", Unit::Bytes, &stand),
         )
         .limit(memory())
         .by(relay),
@@ -67,56 +67,77 @@
             "memory of the kernel for what stands",
             "all",
             Unit::Bytes,
-            stand.clone() * book.slope("standing-kernel", Unit::Bytes, &stand),
+            stand.clone() * book.slope("standing, kernel", Unit::Bytes, &stand),
         )
         .limit(memory())
         .by(Mechanism::Outside("the kernel")),
     ];
-    let relayed = [
-        ("mean", deliveries(book)),
+    // One delivery of each connection that has one, and one connection after another.
+    let opening =
+        |series: &str| an_opening() + book.at(series, Unit::Seconds, book.given("servers"));
+    let at_top = || deliveries(book) * book.given("deliveries-busiest");
+    let situations = [
+        (
+            "mean",
+            deliveries(book),
+            arrivals(book),
+            "placement, none cold",
+        ),
         (
             "busiest minute",
-            deliveries(book) * book.given("deliveries-busiest"),
+            at_top(),
+            arrivals(book) * book.given("arrivals-busiest"),
+            "placement, none cold",
         ),
         (
             "zone lost, in the busiest minute",
-            deliveries(book) * book.given("deliveries-busiest") * more,
+            at_top() * more,
+            arrivals(book) * (book.given("arrivals-busiest") - 1.0) + arrivals_zone_lost(book),
+            "placement, half cold",
+        ),
+        (
+            "release of everything",
+            deliveries(book),
+            arrivals_release(book),
+            "placement, half cold",
         ),
     ];
-    for (when, rate) in relayed {
+    for (when, delivered, opened, series) in situations {
+        let for_deliveries = delivered * a_delivery.clone();
+        let for_openings = opened.clone() * opening(series);
+        let all = for_deliveries.clone() + for_openings.clone();
+        rows.push(Row::new("new connections", when, Unit::Rate, opened).by(place));
         rows.push(
             Row::new(
                 "processor for deliveries",
                 when,
                 Unit::Cores,
-                rate * a_delivery.clone(),
+                for_deliveries,
+            )
+            .by(relay),
+        );
+        rows.push(
+            Row::new(
+                "processor for openings, a placement among all servers with each",
+                when,
+                Unit::Cores,
+                for_openings,
             )
-            .limit(core())
-            .by(relay)
-            .answer(PROCESSES),
+            .by(place),
+        );
+        rows.push(
+            Row::new("processor for both", when, Unit::Cores, all)
+                .limit(core())
+                .by(relay)
+                .answer(PROCESSES),
         );
     }
-    let busiest = deliveries(book) * book.given("deliveries-busiest") * a_delivery
-        + arrivals(book)
-            * book.given("arrivals-busiest")
-            * book.at("placement-warm", Unit::Seconds, book.given("servers"));
-    rows.push(
-        Row::new(
-            "processor for deliveries and placements, of all cores",
-            "busiest minute",
-            Unit::Cores,
-            busiest,
-        )
-        .limit(Limit::Own(book.given("balancer-cores"), "assumed"))
-        .by(relay)
-        .answer(PROCESSES),
-    );
     rows.push(
         Row::new(
             "a delivery's time on the way, 99 in 100",
             "mean",
             Unit::Seconds,
-            book.at("delivery-time", Unit::Seconds, deliveries(book)),
+            book.at("delivery, time", Unit::Seconds, deliveries(book)),
         )
         .limit(Limit::Letter(book.given("delivery-ms") / 1000.0))
         .by(relay),
@@ -135,8 +156,8 @@
     );
     for servers in [90.0, 1000.0, 5000.0, 20_000.0] {
         for (series, cold) in [
-            ("placement-warm", "all warm"),
-            ("placement-cold", "half cold"),
+            ("placement, none cold", "all warm"),
+            ("placement, half cold", "half cold"),
         ] {
             rows.push(
                 Row::new(
@@ -149,33 +170,9 @@
             );
         }
     }
-    let placed = [
-        ("mean", arrivals(book), "placement-warm"),
-        (
-            "busiest minute",
-            arrivals(book) * book.given("arrivals-busiest"),
-            "placement-warm",
-        ),
-        ("zone lost", arrivals_zone_lost(book), "placement-cold"),
-        (
-            "release of everything",
-            arrivals_release(book),
-            "placement-cold",
-        ),
-    ];
-    for (when, rate, series) in placed {
-        rows.push(Row::new("new connections", when, Unit::Rate, rate.clone()).by(place));
-        let each = book.at(series, Unit::Seconds, book.given("servers"));
-        rows.push(
-            Row::new("processor for placements", when, Unit::Cores, rate * each)
-                .limit(core())
-                .by(place)
-                .answer(PROCESSES),
-        );
-    }
     for (series, what) in [
-        ("list-whole", "a whole list taken in"),
-        ("list-one", "a list of one entry taken in"),
+        ("list, whole, time", "a whole list taken in"),
+        ("list, one entry, time", "a list of one entry taken in"),
     ] {
         rows.push(
             Row::new(
@@ -195,7 +192,12 @@
             "processor for lists of one entry",
             "busiest minute",
             Unit::Cores,
-            changes * book.at("list-one", Unit::Seconds, book.given("servers")),
+            changes
+                * book.at(
+                    "list, one entry, time",
+                    Unit::Seconds,
+                    book.given("servers"),
+                ),
         )
         .limit(Limit::Letter(book.given("control-core")))
         .by(list),
--- a/crates/fleet-rig/src/capacity/edges.rs
+++ b/crates/fleet-rig/src/capacity/edges.rs
@@ -23,7 +23,7 @@
     let all = || book.given("balancers");
     let mean = book.given("changes-a-day") / 86_400.0;
     let busiest = book.given("changes-busiest-minute") / 60.0;
-    let whole = book.given("servers") * book.given("json-entry-bytes");
+    let whole = book.at("list, whole, bytes", Unit::Bytes, book.given("servers"));
     let control = || book.given("control-machines");
     let mut rows = Vec::new();
     for (when, changes) in [("mean", mean.clone()), ("busiest minute", busiest.clone())] {
@@ -159,10 +159,24 @@
             topic.clone() / room,
         ),
         Row::new(
-            "servers that the largest topic spills over to",
+            "listeners of the largest topic at one balancer",
             "all",
             Unit::Count,
-            book.at("topic-spill", Unit::Count, topic),
+            topic.clone() / book.given("balancers"),
+        )
+        .by(place),
+        Row::new(
+            "servers that one balancer spreads these over, 1,000 known, no loads told",
+            "all",
+            Unit::Count,
+            book.at("group, 1000 servers", Unit::Count, topic.clone() / book.given("balancers")),
+        )
+        .by(place),
+        Row::new(
+            "servers that the whole topic spills over to, as if at one balancer, 1,000 known, no loads told",
+            "all",
+            Unit::Count,
+            book.at("group, 1000 servers", Unit::Count, topic),
         )
         .by(place),
     ]
--- a/crates/fleet-rig/src/capacity/rank.rs
+++ b/crates/fleet-rig/src/capacity/rank.rs
@@ -3,7 +3,7 @@
 use super::book::Book;
 use super::figure::digits;
 use super::row::Row;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
 /// From this share of its limit on a row is named as near it.
@@ -30,6 +30,13 @@
         }
     }
     ranked.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+    // One line for all situations of a row: the worst.
+    let mut situations: BTreeMap<(&str, &str), usize> = BTreeMap::new();
+    for (_, _, name, row) in &ranked {
+        *situations.entry((name, &row.what)).or_default() += 1;
+    }
+    let mut told = BTreeSet::new();
+    ranked.retain(|(_, _, name, row)| told.insert((*name, row.what.as_str())));
     let mut text = String::from(
         "| | table | row | when | comes to | how far | what answers it |\n| --- | --- | --- | --- | --- | --- | --- |\n",
     );
@@ -42,16 +49,19 @@
             (2, _) => format!("over x{}", digits(*times)),
             _ => format!("near, x{}", digits(*times)),
         };
+        let when = match situations[&(*name, row.what.as_str())] {
+            1 => row.when.to_owned(),
+            n => format!("{}; {} more", row.when, n - 1),
+        };
         let answer = match row.answer {
             "" => row.carried(book),
             answer => answer.to_owned(),
         };
         let _ = writeln!(
             text,
-            "| {} | {name} | {} | {} | {} | {far} | {answer} |",
+            "| {} | {name} | {} | {when} | {} | {far} | {answer} |",
             place + 1,
             row.what,
-            row.when,
             row.comes_to()
         );
     }
--- a/crates/fleet-rig/tests/capacity.rs
+++ b/crates/fleet-rig/tests/capacity.rs
@@ -37,17 +37,18 @@
     let all = [
         ("flat-bytes", line("B/s", &steps, 0.0, 1.0)),
         ("flat-memory", line("B", &steps, 1e6, 10_000.0)),
-        ("flat-news", line("ms", &steps[..4], 0.0, 10.0)),
+        ("flat-join", line("ms", &steps[..4], 0.0, 10.0)),
         (
             "follow-bytes",
             line("B/s", &[100.0, 500.0, 1000.0, 1500.0, 2100.0], 500.0, 0.0),
         ),
-        ("standing-memory", line("B", &thousands, 7e6, 5000.0)),
-        ("delivery-cpu", line("us/s", &thousands, 100.0, 20.0)),
+        ("standing, memory", line("B", &thousands, 7e6, 5000.0)),
+        ("delivery, processor", line("us", &thousands, 100.0, 20.0)),
         (
-            "placement-warm",
+            "placement, none cold",
             line("us", &[90.0, 1000.0, 5000.0, 10_000.0, 20_000.0], 0.0, 0.01),
         ),
+        ("opening, processor", line("us", &steps, 0.0, 300.0)),
     ];
     all.map(|(name, series)| (name.to_owned(), series)).into()
 }
@@ -122,10 +123,11 @@
         16e6 / 2100.0 * 40e-6,
     );
     near(value(row(&path, "new connections", "mean")), stand / 600.0);
-    near(
-        value(row(&path, "processor for placements", "mean")),
-        stand / 600.0 * 200e-6,
-    );
+    // An opening of 300 us, and a placement of 200 us among 20,000 servers.
+    let opened = "processor for openings, a placement among all servers with each";
+    near(value(row(&path, opened, "mean")), stand / 600.0 * 500e-6);
+    let both = 16e6 / 2100.0 * 20e-6 + stand / 600.0 * 500e-6;
+    near(value(row(&path, "processor for both", "mean")), both);
     // Between two sizes measured: the straight line between them, not the fit.
     near(
         value(row(&path, "a placement at 5,000 servers, all warm", "each")),
@@ -134,8 +136,12 @@
     // A zone of thirteen is lost: its clients, and those of the other twelve at its servers, within 10 s.
     let lost = 120e6 / 13.0 * (1.0 + 12.0 / 13.0) / 10.0 / (2100.0 * 12.0 / 13.0);
     near(
-        value(row(&path, "new connections", "zone lost")),
-        stand / 600.0 + lost,
+        value(row(
+            &path,
+            "new connections",
+            "zone lost, in the busiest minute",
+        )),
+        stand / 600.0 * 3.0 + lost,
     );
 
     let server = edges::server(&book);
@@ -179,10 +185,10 @@
             .filter(|(table, text)| after[*table] != **text);
         assert!(differ.count() > 1, "'{name}' changes no table but its own");
     }
-    // News that comes about at all sizes, or its values count for nothing.
+    // A join that comes about at all sizes, or its values count for nothing.
     let mut whole = made_up();
     let steps = [100.0, 200.0, 300.0, 400.0, 500.0];
-    whole.insert("flat-news".into(), line("ms", &steps, 0.0, 10.0));
+    whole.insert("flat-join".into(), line("ms", &steps, 0.0, 10.0));
     let before = tables(&book_of(whole.clone())).expect("whole");
     for name in whole.keys() {
         let mut series = whole.clone();
@@ -228,15 +234,11 @@
     }
     // One of two series is not enough.
     let mut one = made_up();
-    one.remove("delivery-cpu");
+    one.remove("delivery, processor");
     let book = book_of(one);
     let path = data::rows(&book);
-    let both = row(
-        &path,
-        "processor for deliveries and placements, of all cores",
-        "busiest minute",
-    );
-    assert_eq!(both.comes_to(), "not measured (`delivery-cpu`)");
+    let both = row(&path, "processor for both", "busiest minute");
+    assert_eq!(both.comes_to(), "not measured (`delivery, processor`)");
     // Nor is a series without two sizes.
     let mut short = made_up();
     short.insert("flat-memory".into(), line("B", &[100.0], 0.0, 1.0));
@@ -252,10 +254,33 @@
 fn what_no_longer_comes_about_is_not_stretched() {
     let book = book_of(made_up());
     let flat = control::balancer_flat(&book);
-    // Bytes were measured at 500 instances; news came to all at 400, and at 500 to not all of them.
-    let news = row(&flat, "until a change is in force everywhere", "at rest");
-    assert_eq!(news.comes_to(), "never");
-    assert!(tables(&book).expect("whole")["ranking"].contains("never comes about"));
+    // Bytes were measured at 500 instances; all knew of all at 400, and at 500 never.
+    let join = row(
+        &flat,
+        "until all know of all",
+        "release of everything at once",
+    );
+    assert_eq!(join.comes_to(), "never");
+    // A change does not get to 2,100 at all, whatever was measured at fewer: its first datagrams do not fit.
+    let news = "until a change is in force everywhere, by news alone";
+    assert_eq!(row(&flat, news, "at rest").comes_to(), "never");
+    let ranking = tables(&book).expect("whole")["ranking"].clone();
+    let first = ranking.lines().nth(2).expect("a first row");
+    assert!(
+        first.contains(news) && first.contains("never comes about"),
+        "{first}"
+    );
+    // At a size that it fits at it is worked out.
+    let mut small = given();
+    small.letter.get_mut("balancers").expect("there").value = 300.0;
+    let mut series = made_up();
+    series.insert(
+        "flat-news".into(),
+        line("ms", &[100.0, 200.0, 400.0], 0.0, 10.0),
+    );
+    let book = Book::new(&root(), Measured(series), Value::Null, small);
+    let flat = control::balancer_flat(&book);
+    near(value(row(&flat, news, "at rest")), 3.0);
 }
 
 #[test]
