--- a/crates/fleet-rig/src/capacity/data.rs
+++ b/crates/fleet-rig/src/capacity/data.rs
@@ -9,6 +9,10 @@
 /// What would put a row right that asks more than a core of one process.
 const PROCESSES: &str = "a balancer of several processes: missing";
 
+/// What would make a placement cheap while many servers are cold.
+const COLD: &str =
+    "a placement that does not look at each cold server for each: missing (`src/choice.rs`)";
+
 /// Connections that stand at one balancer.
 pub fn connections(book: &Book) -> Figure {
     book.given("connections") / book.given("balancers")
@@ -24,14 +28,19 @@
     connections(book) / book.given("connection-life")
 }
 
-/// New connections a second at one balancer that stays, while those of a lost zone come again.
-fn arrivals_zone_lost(book: &Book) -> Figure {
+/// Connections a second that come again at one balancer that stays, of those of a lost zone.
+fn come_again_zone_lost(book: &Book) -> Figure {
     let zones = book.given("zones");
     // The balancers that stay take the zone's clients, and those that stood at the zone's stream servers.
     let balancers = book.given("balancers") * (zones.clone() - 1.0) / zones.clone();
     let lost = book.given("connections") / zones.clone();
     let at_servers = lost.clone() * (zones.clone() - 1.0) / zones;
-    arrivals(book) + (lost + at_servers) / book.given("come-back") / balancers
+    (lost + at_servers) / book.given("come-back") / balancers
+}
+
+/// The same while each balancer's come again once, over the time that a release takes.
+fn come_again_release(book: &Book) -> Figure {
+    connections(book) / (book.given("release-minutes") * 60.0)
 }
 
 /// The data path's rows.
@@ -72,64 +81,54 @@
         .limit(memory())
         .by(Mechanism::Outside("the kernel")),
     ];
-    // One delivery of each connection that has one, and one connection after another.
-    let opening =
-        |series: &str| an_opening() + book.at(series, Unit::Seconds, book.given("servers"));
     let at_top = || deliveries(book) * book.given("deliveries-busiest");
+    let opened_at_top = || arrivals(book) * book.given("arrivals-busiest");
+    let (warm, half_cold) = ("placement, none cold", "placement, half cold");
     let situations = [
+        ("mean", deliveries(book), arrivals(book), warm),
+        ("busiest minute", at_top(), opened_at_top(), warm),
         (
-            "mean",
-            deliveries(book),
-            arrivals(book),
-            "placement, none cold",
+            "zone lost, in the busiest minute",
+            at_top() * more,
+            opened_at_top() + come_again_zone_lost(book),
+            warm,
         ),
         (
-            "busiest minute",
+            "release of all balancers, in the busiest minute",
             at_top(),
-            arrivals(book) * book.given("arrivals-busiest"),
-            "placement, none cold",
-        ),
-        (
-            "zone lost, in the busiest minute",
-            at_top() * more,
-            arrivals(book) * (book.given("arrivals-busiest") - 1.0) + arrivals_zone_lost(book),
-            "placement, half cold",
+            opened_at_top() + come_again_release(book),
+            warm,
         ),
         (
-            "release of everything",
-            deliveries(book),
-            arrivals_release(book),
-            "placement, half cold",
+            "half of the servers cold, in the busiest minute",
+            at_top(),
+            opened_at_top(),
+            half_cold,
         ),
     ];
     for (when, delivered, opened, series) in situations {
-        let for_deliveries = delivered * a_delivery.clone();
-        let for_openings = opened.clone() * opening(series);
-        let all = for_deliveries.clone() + for_openings.clone();
+        let placed = opened.clone() * book.at(series, Unit::Seconds, book.given("servers"));
+        let relayed = delivered * a_delivery.clone();
+        // An opening was measured with one server known: its placement is as good as none.
+        let all = relayed.clone() + placed.clone() + opened.clone() * an_opening();
         rows.push(Row::new("new connections", when, Unit::Rate, opened).by(place));
         rows.push(
-            Row::new(
-                "processor for deliveries",
-                when,
-                Unit::Cores,
-                for_deliveries,
-            )
-            .by(relay),
+            Row::new("processor for placements alone", when, Unit::Cores, placed)
+                .limit(core())
+                .by(place)
+                .answer(COLD),
         );
+        rows.push(Row::new("processor for deliveries alone", when, Unit::Cores, relayed).by(relay));
         rows.push(
             Row::new(
-                "processor for openings, a placement among all servers with each",
+                "processor for openings, placements and deliveries",
                 when,
                 Unit::Cores,
-                for_openings,
+                all,
             )
-            .by(place),
-        );
-        rows.push(
-            Row::new("processor for both", when, Unit::Cores, all)
-                .limit(core())
-                .by(relay)
-                .answer(PROCESSES),
+            .limit(core())
+            .by(relay)
+            .answer(PROCESSES),
         );
     }
     rows.push(
@@ -216,11 +215,6 @@
     rows
 }
 
-/// New connections a second at one balancer while all of them come again once, over the time a release takes.
-fn arrivals_release(book: &Book) -> Figure {
-    arrivals(book) + connections(book) / (book.given("release-minutes") * 60.0)
-}
-
 /// Assumptions, or the letter's figures, as a table.
 pub fn given_table(given: &BTreeMap<String, Given>, assumed: bool) -> String {
     let mut text = String::from(match assumed {
--- a/crates/fleet-rig/src/capacity/edges.rs
+++ b/crates/fleet-rig/src/capacity/edges.rs
@@ -156,7 +156,7 @@
             "servers that the largest topic needs at least",
             "all",
             Unit::Count,
-            topic.clone() / room,
+            topic.clone() / room.clone(),
         ),
         Row::new(
             "listeners of the largest topic at one balancer",
@@ -166,19 +166,30 @@
         )
         .by(place),
         Row::new(
-            "servers that one balancer spreads these over, 1,000 known, no loads told",
+            "servers that one balancer spreads these over, 1,000 known, no loads or delays told",
             "all",
             Unit::Count,
-            book.at("group, 1000 servers", Unit::Count, topic.clone() / book.given("balancers")),
+            book.at(
+                "group, 1000 servers",
+                Unit::Count,
+                topic.clone() / book.given("balancers"),
+            ),
         )
         .by(place),
         Row::new(
-            "servers that the whole topic spills over to, as if at one balancer, 1,000 known, no loads told",
+            "connections of the largest topic at each server that holds some, no loads or delays told",
             "all",
             Unit::Count,
-            book.at("group, 1000 servers", Unit::Count, topic),
+            topic.clone()
+                / book.at(
+                    "group, 1000 servers",
+                    Unit::Count,
+                    topic / book.given("balancers"),
+                ),
         )
-        .by(place),
+        .limit(Limit::Own(room.clone(), "assumed"))
+        .by(Mechanism::Is("src/net/delay.rs", "pub struct Delays"))
+        .answer("servers that tell loads or delays (docs/QUESTIONS.md); without them: missing"),
     ]
 }
 
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -1,7 +1,7 @@
 //! Long runs and measurements of the fleet.
 
 use clap::{Parser, Subcommand, ValueEnum};
-use spanspur_fleet_rig::{Plan, capacity, measure, scale, soak};
+use spanspur_fleet_rig::{Plan, capacity, data_path, measure, scale, soak};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -78,6 +78,16 @@
     },
     /// What the flat cluster costs at stepped sizes: series, a table and charts.
     Scale(scale::Args),
+    /// What the data path costs, as series: about two minutes.
+    DataPath {
+        /// The balancer's program, a release build.
+        #[arg(long, default_value = "target/release/spanspur")]
+        program: String,
+        #[arg(long, default_value = "docs/measured/scale.json")]
+        file: PathBuf,
+        /// Only these: placement, list, group, delivery, opening, standing.
+        parts: Vec<String>,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -154,6 +164,11 @@
             }
             verdict.sound()
         }
+        Command::DataPath {
+            program,
+            file,
+            parts,
+        } => told(data_path::run(&program, &file, &parts)),
         Command::Distribution {
             part,
             folder,
--- a/crates/fleet-rig/tests/capacity.rs
+++ b/crates/fleet-rig/tests/capacity.rs
@@ -115,19 +115,27 @@
         stand * 5000.0,
     );
     near(
-        value(row(&path, "processor for deliveries", "mean")),
+        value(row(&path, "processor for deliveries alone", "mean")),
         16e6 / 2100.0 * 20e-6,
     );
     near(
-        value(row(&path, "processor for deliveries", "busiest minute")),
+        value(row(
+            &path,
+            "processor for deliveries alone",
+            "busiest minute",
+        )),
         16e6 / 2100.0 * 40e-6,
     );
     near(value(row(&path, "new connections", "mean")), stand / 600.0);
     // An opening of 300 us, and a placement of 200 us among 20,000 servers.
-    let opened = "processor for openings, a placement among all servers with each";
-    near(value(row(&path, opened, "mean")), stand / 600.0 * 500e-6);
-    let both = 16e6 / 2100.0 * 20e-6 + stand / 600.0 * 500e-6;
-    near(value(row(&path, "processor for both", "mean")), both);
+    let placed = row(&path, "processor for placements alone", "mean");
+    near(value(placed), stand / 600.0 * 200e-6);
+    let all = row(
+        &path,
+        "processor for openings, placements and deliveries",
+        "mean",
+    );
+    near(value(all), 16e6 / 2100.0 * 20e-6 + stand / 600.0 * 500e-6);
     // Between two sizes measured: the straight line between them, not the fit.
     near(
         value(row(&path, "a placement at 5,000 servers, all warm", "each")),
@@ -237,7 +245,11 @@
     one.remove("delivery, processor");
     let book = book_of(one);
     let path = data::rows(&book);
-    let both = row(&path, "processor for both", "busiest minute");
+    let both = row(
+        &path,
+        "processor for openings, placements and deliveries",
+        "busiest minute",
+    );
     assert_eq!(both.comes_to(), "not measured (`delivery, processor`)");
     // Nor is a series without two sizes.
     let mut short = made_up();
