Count the copies of a list told anew by what the log of arrivals holds

Need: the row took two copies for a list that is longer than the log, where a follower compares with one source. Change: one copy there.

--- a/crates/fleet-rig/src/capacity/control.rs
+++ b/crates/fleet-rig/src/capacity/control.rs
@@ -488,13 +488,19 @@
         )
         .by(PACE),
     );
-    // Whoever takes the duty `list` over tells every server anew, to each follower of each source.
+    // Whoever takes the duty `list` over tells every server anew. Where the log of arrivals holds that, each of a
+    // follower's two sources tells it; else the follower compares with one of them.
+    let kept = book.field(SOURCE_FILE, "kept_changes");
+    let copies = match (book.given("servers").value(), kept.value()) {
+        (Some(servers), Some(kept)) if servers <= kept => 2.0,
+        _ => 1.0,
+    };
     rows.push(
         row(
             "until all have what a new holder of the duty `list` tells anew, and what changes behind it",
             "the holder's machine lost, or restarted",
             Unit::Seconds,
-            all() * 2.0 / nine() * book.given("servers") * book.given("entry-bytes") / budget(),
+            all() * copies / nine() * book.given("servers") * book.given("entry-bytes") / budget(),
         )
         .limit(in_force(book))
         .by(Mechanism::Is("src/net/duties/list.rs", "async fn lead"))
