--- a/crates/fleet-rig/src/capacity/edges.rs
+++ b/crates/fleet-rig/src/capacity/edges.rs
@@ -23,7 +23,7 @@
     let all = || book.given("balancers");
     let mean = book.given("changes-a-day") / 86_400.0;
     let busiest = book.given("changes-busiest-minute") / 60.0;
-    let whole = book.given("servers") * book.given("json-entry-bytes");
+    let whole = book.at("list, whole, bytes", Unit::Bytes, book.given("servers"));
     let control = || book.given("control-machines");
     let mut rows = Vec::new();
     for (when, changes) in [("mean", mean.clone()), ("busiest minute", busiest.clone())] {
@@ -156,15 +156,40 @@
             "servers that the largest topic needs at least",
             "all",
             Unit::Count,
-            topic.clone() / room,
+            topic.clone() / room.clone(),
         ),
         Row::new(
-            "servers that the largest topic spills over to",
+            "listeners of the largest topic at one balancer",
             "all",
             Unit::Count,
-            book.at("topic-spill", Unit::Count, topic),
+            topic.clone() / book.given("balancers"),
         )
         .by(place),
+        Row::new(
+            "servers that one balancer spreads these over, 1,000 known, no loads or delays told",
+            "all",
+            Unit::Count,
+            book.at(
+                "group, 1000 servers",
+                Unit::Count,
+                topic.clone() / book.given("balancers"),
+            ),
+        )
+        .by(place),
+        Row::new(
+            "connections of the largest topic at each server that holds some, no loads or delays told",
+            "all",
+            Unit::Count,
+            topic.clone()
+                / book.at(
+                    "group, 1000 servers",
+                    Unit::Count,
+                    topic / book.given("balancers"),
+                ),
+        )
+        .limit(Limit::Own(room.clone(), "assumed"))
+        .by(Mechanism::Is("src/net/delay.rs", "pub struct Delays"))
+        .answer("servers that tell loads or delays (docs/QUESTIONS.md); without them: missing"),
     ]
 }
 
