--- a/crates/fleet-rig/src/capacity/row.rs
+++ b/crates/fleet-rig/src/capacity/row.rs
@@ -5,6 +5,9 @@
 use std::collections::BTreeSet;
 use std::fmt::Write;
 
+/// What is said of something that did not come about at all, as far as it was waited for.
+pub const NOT: &str = "did not come about";
+
 /// What a figure may come to.
 #[derive(Clone, Debug)]
 pub enum Limit {
@@ -129,7 +132,7 @@
     fn margin(&self) -> String {
         match self.times() {
             None => "-".to_owned(),
-            Some(times) if times.is_infinite() => "**never**".to_owned(),
+            Some(times) if times.is_infinite() => format!("**{NOT}**"),
             Some(times) if times > 1.0 && self.cannot() => {
                 format!("**cannot be done**, over x{}", digits(times))
             }
@@ -178,7 +181,7 @@
 
 fn show(unit: Unit, figure: &Figure) -> String {
     match figure.value() {
-        Some(value) if value.is_infinite() => "never".to_owned(),
+        Some(value) if value.is_infinite() => NOT.to_owned(),
         Some(value) => unit.show(value),
         None => {
             let lacks: Vec<String> = figure.lacks.iter().map(|l| format!("`{l}`")).collect();
