--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -45,15 +45,6 @@
         #[arg(long, value_parser = |text: &str| u64::from_str_radix(text, 16))]
         watch: Option<u64>,
     },
-    /// The size of two years: writes the tables of docs/CAPACITY.md from the measured series and the assumptions.
-    Capacity {
-        /// The workspace.
-        #[arg(default_value = ".")]
-        root: PathBuf,
-        /// Writes nothing: fails where the page is not what the data comes to.
-        #[arg(long)]
-        check: bool,
-    },
     /// The distribution from nine control instances to 2,100 balancers, in virtual time.
     Distribution {
         /// What to play.
@@ -71,6 +62,15 @@
         #[arg(long, default_value_t = 3)]
         jobs: usize,
     },
+    /// The size of two years: writes the tables of docs/CAPACITY.md from the measured series and the assumptions.
+    Capacity {
+        /// The workspace.
+        #[arg(default_value = ".")]
+        root: PathBuf,
+        /// Writes nothing: fails where the page is not what the data comes to.
+        #[arg(long)]
+        check: bool,
+    },
     /// Costs and take-over times: data, a table and charts.
     Measure {
         #[arg(default_value = "docs/measured")]
@@ -164,11 +164,6 @@
             }
             verdict.sound()
         }
-        Command::DataPath {
-            program,
-            file,
-            parts,
-        } => told(data_path::run(&program, &file, &parts)),
         Command::Distribution {
             part,
             folder,
@@ -208,6 +203,11 @@
             })
         }
         Command::Capacity { root, check } => told(capacity::run(&root, check)),
+        Command::DataPath {
+            program,
+            file,
+            parts,
+        } => told(data_path::run(&program, &file, &parts)),
         Command::Measure { folder } => told(measure::run(&folder)),
         Command::Scale(args) => told(scale::run(&args)),
     };
