--- a/crates/fleet-rig/src/capacity/data.rs
+++ b/crates/fleet-rig/src/capacity/data.rs
@@ -46,7 +46,7 @@
 /// The data path's rows.
 pub fn rows(book: &Book) -> Vec<Row> {
     let core = || Limit::Own(Figure::of(1.0), "one process runs on one core");
-    let relay = Mechanism::Is("src/net/relay.rs", "pub async fn discard");
+    let relay = Mechanism::Is("src/net/relay.rs", "pub fn relay(");
     let place = Mechanism::Is("src/choice.rs", "fn choose");
     let list = Mechanism::Is("src/net/director.rs", "async fn follow");
     let stand = connections(book);
