Give the operator's file the sections of the distribution

Need: balancers outside the cluster are to follow control instances for the list of servers; both ends are switched on by the operator's file. Change: 'distribute' at a control instance (needs 'cluster' and 'duties.list') and 'follow' at a balancer (excludes 'cluster'), with checks that name the key; keys and the age may change at SIGHUP, the rest with a restart. Keys may be other ones than the cluster's, so that a balancer holds no key of the cluster.

--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -19,6 +19,12 @@
 const MIN_SECRET: usize = 16;
 /// The longest name of an instance.
 const MAX_NAME: usize = 64;
+/// Sources that a follower may choose from.
+const MAX_SOURCES: usize = 64;
+/// Pieces a second that a control instance may be asked to give at most.
+const MAX_RATE: u32 = 100_000;
+/// The least age at which followed knowledge may count as too old: it is asked for once a second.
+const MIN_FOLLOWED_AGE_MS: u64 = 2500;
 /// Besides the notice of a death, a take-over takes the asking and the claiming.
 const TAKEOVER_MS: u64 = 500;
 
@@ -35,6 +41,11 @@
     pub cluster: Option<Cluster>,
     /// What they do once a period together. Needs `cluster`.
     pub duties: Duties,
+    /// Gives the list of servers to balancers outside the cluster. Needs `cluster` and `duties.list`. Off where
+    /// missing.
+    pub distribute: Option<Distribute>,
+    /// Follows control instances for the list of servers. Not together with `cluster`. Off where missing.
+    pub follow: Option<Follow>,
 }
 
 /// How the log is written. What is written is chosen by `RUST_LOG`.
@@ -186,6 +197,69 @@
     pub max_age_ms: u64,
 }
 
+/// A control instance's part in the distribution of the list of servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Distribute {
+    /// Where it takes its followers' datagrams; changes with a restart.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// Its zone; changes with a restart.
+    pub zone: String,
+    /// Its region; changes with a restart.
+    pub region: String,
+    /// The secrets that it shares with its followers, one or two, replaced as those of the cluster are; the cluster's
+    /// where missing.
+    #[serde(default)]
+    pub keys: Vec<String>,
+    /// Pieces, of at most a datagram each, that it gives its followers in a second at most; changes with a restart.
+    #[serde(default = "rate")]
+    pub rate: u32,
+}
+
+fn rate() -> u32 {
+    2000
+}
+
+/// A balancer's part in it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Follow {
+    /// This balancer's name, the same after a restart and like no other's; the balancer's own where missing. Changes
+    /// with a restart.
+    #[serde(default)]
+    pub name: Option<String>,
+    /// Where it takes the answers; port 0 takes one that is free. Changes with a restart.
+    #[schemars(with = "String")]
+    pub listen: SocketAddr,
+    /// Its zone; changes with a restart.
+    pub zone: String,
+    /// Its region; changes with a restart.
+    pub region: String,
+    /// The secrets that it shares with its sources, one or two, as `distribute.keys` (or `cluster.keys`) has them there.
+    pub keys: Vec<String>,
+    /// The control instances, two or more, the same list everywhere. It follows two of them: its own zone's first,
+    /// then its region's. Changes with a restart.
+    pub sources: Vec<FollowedSource>,
+    /// Once what it knows is older than this it asks discovery itself.
+    pub max_age_ms: u64,
+}
+
+/// A control instance that can be followed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FollowedSource {
+    /// Its name in the cluster.
+    pub name: String,
+    /// Its `distribute.listen`.
+    #[schemars(with = "String")]
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+}
+
 /// A fault of the file: where, and what.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -251,7 +325,8 @@
     }
     let pointer = error.instance_path().to_string();
     // Secrets do not go into logs.
-    let what = match pointer.starts_with("/cluster/keys") {
+    let secret = ["/cluster/keys", "/distribute/keys", "/follow/keys"];
+    let what = match secret.iter().any(|keys| pointer.starts_with(keys)) {
         true => error.masked().to_string(),
         false => error.to_string(),
     };
@@ -297,6 +372,34 @@
                 self.duties.list.as_ref().map(|l| l.every_ms),
             ),
         ];
+        if let Some(follow) = &self.follow {
+            fault(
+                self.cluster.is_none(),
+                "follow",
+                "excludes the section 'cluster': an instance of the cluster has its news already"
+                    .into(),
+            );
+            follow.check(&mut fault);
+        }
+        if let Some(distribute) = &self.distribute {
+            fault(
+                self.cluster.is_some(),
+                "distribute",
+                "needs the section 'cluster'".into(),
+            );
+            fault(
+                self.duties.list.is_some(),
+                "distribute",
+                "needs 'duties.list': there is nothing to distribute without it".into(),
+            );
+            let taken = self.cluster.as_ref().map(|cluster| cluster.listen);
+            fault(
+                taken != Some(distribute.listen),
+                "distribute.listen",
+                "is taken by 'cluster.listen'".into(),
+            );
+            distribute.check(&mut fault);
+        }
         let Some(cluster) = &self.cluster else {
             let any = duties.iter().any(|(_, every)| every.is_some());
             fault(!any, "duties", "duties need the section 'cluster'".into());
@@ -324,21 +427,7 @@
                 MAX_VOTERS - 1
             ),
         );
-        fault(
-            (1..=2).contains(&cluster.keys.len()),
-            "cluster.keys",
-            format!(
-                "{} keys: one, or two while one is replaced",
-                cluster.keys.len()
-            ),
-        );
-        for (i, key) in cluster.keys.iter().enumerate() {
-            fault(
-                key.len() >= MIN_SECRET,
-                &format!("cluster.keys[{i}]"),
-                format!("shorter than {MIN_SECRET} characters"),
-            );
-        }
+        check_keys("cluster.keys", &cluster.keys, &mut fault);
         let (seeds, some): (BTreeSet<_>, _) = (cluster.seeds.iter().collect(), cluster.seeds.len());
         fault(
             seeds.len() == some,
@@ -350,11 +439,7 @@
             "cluster.listen",
             "port 0 tells the others nothing".into(),
         );
-        fault(
-            !cluster.listen.ip().is_unspecified(),
-            "cluster.listen",
-            "the others are told this address: it must be one that they reach".into(),
-        );
+        check_listen("cluster.listen", cluster.listen, &mut fault);
         let pace = &cluster.pace;
         fault(
             pace.answer_ms > 0 && pace.probe_ms > pace.answer_ms.saturating_mul(2),
@@ -449,10 +534,132 @@
             }
             (old, new) => same(old.is_none() && new.is_none(), "cluster"),
         }
+        match (&self.distribute, &new.distribute) {
+            (Some(old), Some(new)) => {
+                same(old.listen == new.listen, "distribute.listen");
+                same(old.zone == new.zone, "distribute.zone");
+                same(old.region == new.region, "distribute.region");
+                same(old.rate == new.rate, "distribute.rate");
+            }
+            (old, new) => same(old.is_none() && new.is_none(), "distribute"),
+        }
+        match (&self.follow, &new.follow) {
+            (Some(old), Some(new)) => {
+                same(old.name == new.name, "follow.name");
+                same(old.listen == new.listen, "follow.listen");
+                same(old.zone == new.zone, "follow.zone");
+                same(old.region == new.region, "follow.region");
+                same(old.sources == new.sources, "follow.sources");
+            }
+            (old, new) => same(old.is_none() && new.is_none(), "follow"),
+        }
         faults
     }
 }
 
+impl Distribute {
+    fn check(&self, fault: &mut impl FnMut(bool, &str, String)) {
+        check_listen("distribute.listen", self.listen, fault);
+        fault(
+            self.listen.port() != 0,
+            "distribute.listen",
+            "port 0 tells the followers nothing".into(),
+        );
+        fault(
+            name_fits(&self.zone),
+            "distribute.zone",
+            name_rule(&self.zone),
+        );
+        fault(
+            name_fits(&self.region),
+            "distribute.region",
+            name_rule(&self.region),
+        );
+        if !self.keys.is_empty() {
+            check_keys("distribute.keys", &self.keys, fault);
+        }
+        fault(
+            (1..=MAX_RATE).contains(&self.rate),
+            "distribute.rate",
+            format!("{} pieces a second: 1 to {MAX_RATE}", self.rate),
+        );
+    }
+}
+
+impl Follow {
+    fn check(&self, fault: &mut impl FnMut(bool, &str, String)) {
+        if let Some(name) = &self.name {
+            fault(name_fits(name), "follow.name", name_rule(name));
+        }
+        check_listen("follow.listen", self.listen, fault);
+        fault(name_fits(&self.zone), "follow.zone", name_rule(&self.zone));
+        fault(
+            name_fits(&self.region),
+            "follow.region",
+            name_rule(&self.region),
+        );
+        check_keys("follow.keys", &self.keys, fault);
+        let some = self.sources.len();
+        fault(
+            (2..=MAX_SOURCES).contains(&some),
+            "follow.sources",
+            format!("{some} sources: 2 to {MAX_SOURCES} are needed"),
+        );
+        for (i, source) in self.sources.iter().enumerate() {
+            let place = |key: &str| format!("follow.sources[{i}].{key}");
+            let before = &self.sources[..i];
+            let (name, address) = (&source.name, source.address);
+            fault(name_fits(name), &place("name"), name_rule(name));
+            fault(
+                before.iter().all(|other| other.name != *name),
+                &place("name"),
+                format!("'{name}' is named twice"),
+            );
+            fault(
+                before.iter().all(|other| other.address != address),
+                &place("address"),
+                format!("{address} is named twice"),
+            );
+            fault(
+                address.port() != 0 && !address.ip().is_unspecified(),
+                &place("address"),
+                format!("{address} is no place to send to"),
+            );
+            for (key, of) in [("zone", &source.zone), ("region", &source.region)] {
+                fault(name_fits(of), &place(key), name_rule(of));
+            }
+        }
+        fault(
+            self.max_age_ms >= MIN_FOLLOWED_AGE_MS,
+            "follow.max_age_ms",
+            format!("sources are asked once a second: {MIN_FOLLOWED_AGE_MS} or more"),
+        );
+    }
+}
+
+fn check_keys(place: &str, keys: &[String], fault: &mut impl FnMut(bool, &str, String)) {
+    fault(
+        (1..=2).contains(&keys.len()),
+        place,
+        format!("{} keys: one, or two while one is replaced", keys.len()),
+    );
+    for (i, key) in keys.iter().enumerate() {
+        fault(
+            key.len() >= MIN_SECRET,
+            &format!("{place}[{i}]"),
+            format!("shorter than {MIN_SECRET} characters"),
+        );
+    }
+}
+
+fn check_listen(place: &str, at: SocketAddr, fault: &mut impl FnMut(bool, &str, String)) {
+    fault(
+        !at.ip().is_unspecified(),
+        place,
+        "the others are told this address: it must be one that they reach".into(),
+    );
+}
+
 fn name_fits(name: &str) -> bool {
     !name.is_empty() && name.len() <= MAX_NAME && !name.contains(char::is_whitespace)
 }
