Distribute the list of servers to balancers outside the cluster, and follow it

Need: the core of the distribution has bytes and time in and out; both ends need sockets, and the list of servers is its first use. Change: crates/cluster has port.rs, the socket, clock and loop that its driver had, and distribution.rs, both ends on it. A control instance gives its board's rows and a head that is told only when the list has changed; it counts as fresh while the duty's holder confirms just that. ListNews needs no handle of a cluster any more: a follower takes the whole list when it is whole, young enough and not behind discovery's own word, changes after that, and asks discovery itself in the dark. MAX_VERSION was 2^56 - 1 and refused every real row: a period after its voters' restart is Unix time in ms, 2^61 with its steps. It is 2^62 - 1.

--- a/crates/cluster/src/control.rs
+++ b/crates/cluster/src/control.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
@@ -57,8 +58,20 @@
     pub counters: std::collections::BTreeMap<String, u64>,
 }
 
+/// Answers a question with a line of JSON, see [`to_json`]; `None` where it is none.
+pub type Answers = Rc<dyn Fn(&str) -> Option<String>>;
+
+/// What an instance of a cluster answers.
+pub fn answers(handle: Handle) -> Answers {
+    Rc::new(move |question| match question {
+        "duties" => Some(to_json(&duties(&handle))),
+        "members" => Some(to_json(&members(&handle))),
+        _ => None,
+    })
+}
+
 /// Opens the socket and answers on the current `LocalSet`. A socket that a process before left is replaced.
-pub fn serve(handle: Handle, path: &Path) -> io::Result<()> {
+pub fn serve(answers: Answers, path: &Path) -> io::Result<()> {
     match std::os::unix::net::UnixStream::connect(path) {
         Ok(_) => {
             return Err(io::Error::new(
@@ -79,9 +92,9 @@
             };
             match listener.accept().await {
                 Ok((asking, _)) => {
-                    let handle = handle.clone();
+                    let answers = answers.clone();
                     spawn_local(async move {
-                        let _ = timeout(PATIENCE, answer(handle, asking)).await;
+                        let _ = timeout(PATIENCE, answer(answers, asking)).await;
                         drop(place);
                     });
                 }
@@ -92,21 +105,21 @@
     Ok(())
 }
 
-async fn answer(handle: Handle, asking: UnixStream) -> io::Result<()> {
+async fn answer(answers: Answers, asking: UnixStream) -> io::Result<()> {
     let (read, mut write) = asking.into_split();
     let mut question = String::new();
     BufReader::new(read.take(MAX_QUESTION))
         .read_line(&mut question)
         .await?;
-    let answer = match question.trim() {
-        "duties" => to_json(&duties(&handle)),
-        "members" => to_json(&members(&handle)),
-        other => to_json(&serde_json::json!({"error": format!("'{other}' is no question here")})),
-    };
+    let question = question.trim();
+    let nothing =
+        || to_json(&serde_json::json!({"error": format!("'{question}' is no question here")}));
+    let answer = answers(question).unwrap_or_else(nothing);
     write.write_all(answer.as_bytes()).await
 }
 
-fn to_json(answer: &impl Serialize) -> String {
+/// An answer as its line.
+pub fn to_json(answer: &impl Serialize) -> String {
     serde_json::to_string(answer).unwrap_or_default() + "\n"
 }
 
@@ -137,21 +150,18 @@
 
 /// What is known of the members.
 pub fn members(handle: &Handle) -> MembersAnswer {
-    let traffic = handle.traffic();
+    let (traffic, dropped) = (handle.traffic(), handle.news_dropped());
     handle.with(|node, _| {
         let mut counters: std::collections::BTreeMap<String, u64> = node
             .counters()
             .into_iter()
             .map(|(k, v)| (k.to_owned(), v))
             .collect();
-        for (name, value) in [
-            ("sent", traffic.sent),
-            ("sent-bytes", traffic.sent_bytes),
-            ("received", traffic.received),
-            ("received-bytes", traffic.received_bytes),
-            ("unsent", traffic.unsent),
-            ("news-dropped", traffic.news_dropped),
-        ] {
+        for (name, value) in traffic
+            .named()
+            .into_iter()
+            .chain([("news-dropped", dropped)])
+        {
             counters.insert(name.into(), value);
         }
         MembersAnswer {
--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -2,23 +2,20 @@
 
 use crate::hook::{Duty, Work};
 use crate::node::{Effect, Node, Notice, Setup};
+use crate::port::{self, Endpoint, Port, Traffic};
 use spanspur_duties::board::Entry;
 use spanspur_duties::{Millis, Now, Permit};
 use spanspur_membership::Keys;
-use spanspur_membership::seal::MAX_DATAGRAM;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime};
-use tokio::net::UdpSocket;
-use tokio::sync::{Notify, Semaphore, mpsc};
+use std::time::{Duration, SystemTime};
+use tokio::sync::{Semaphore, mpsc};
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::timeout;
 
-/// Datagrams taken in one turn, so that a flood of them leaves the balancer its own.
-const BATCH: usize = 64;
 /// Duties done at the same time. Each may hold a descriptor, and those come out of the few that the balancer keeps
 /// for itself; more wait, as long as their permits hold.
 const MAX_PERFORMING: usize = 16;
@@ -29,29 +26,11 @@
     node: RefCell<Node>,
     duties: RefCell<BTreeMap<String, Rc<dyn Duty>>>,
     work: Work,
-    socket: UdpSocket,
-    changed: Notify,
+    port: Port,
     performing: Semaphore,
     news: mpsc::Sender<Entry>,
-    /// Datagrams and bytes sent and received, datagrams that the socket did not take, news that found no room.
-    traffic: RefCell<Traffic>,
-}
-
-/// What went over the socket.
-#[derive(Clone, Copy, Debug, Default, serde::Serialize)]
-pub struct Traffic {
-    /// Datagrams sent.
-    pub sent: u64,
-    /// Their bytes.
-    pub sent_bytes: u64,
-    /// Datagrams received.
-    pub received: u64,
-    /// Their bytes.
-    pub received_bytes: u64,
-    /// Datagrams that the socket did not take.
-    pub unsent: u64,
-    /// News dropped since nobody took it; it is on the board all the same.
-    pub news_dropped: u64,
+    /// News that found no room.
+    news_dropped: Cell<u64>,
 }
 
 /// A running instance of a cluster.
@@ -65,23 +44,22 @@
     /// Opens the socket and starts the instance on the current `LocalSet`. News of other instances' results comes
     /// out of the receiver.
     pub async fn start(setup: Setup) -> io::Result<(Handle, mpsc::Receiver<Entry>)> {
-        let socket = UdpSocket::bind(setup.me.address).await?;
+        let port = Port::open(setup.me.address).await?;
         let work = Work {
-            origin: Instant::now(),
+            origin: port.origin(),
         };
         let (news, fresh) = mpsc::channel(MAX_NEWS);
         let shared = Rc::new(Shared {
             node: RefCell::new(Node::new(now_of(work), setup)),
             duties: RefCell::default(),
             work,
-            socket,
-            changed: Notify::new(),
+            port,
             performing: Semaphore::new(MAX_PERFORMING),
             news,
-            traffic: RefCell::default(),
+            news_dropped: Cell::new(0),
         });
         let handle = Handle(shared);
-        spawn_local(run(handle.clone()));
+        spawn_local(port::run(handle.clone()));
         Ok((handle, fresh))
     }
 }
@@ -127,7 +105,12 @@
 
     /// What went over the socket.
     pub fn traffic(&self) -> Traffic {
-        *self.0.traffic.borrow()
+        self.0.port.traffic()
+    }
+
+    /// News dropped since nobody took it; it is on the board all the same.
+    pub fn news_dropped(&self) -> u64 {
+        self.0.news_dropped.get()
     }
 
     /// Looks at the node, or changes it, and carries out what comes of that.
@@ -135,38 +118,13 @@
         let now = now_of(self.0.work);
         let result = change(&mut self.0.node.borrow_mut(), now);
         self.carry_out();
-        self.0.changed.notify_one();
+        self.0.port.touch();
         result
     }
 
-    fn carry_out(&self) {
-        let effects = self.0.node.borrow_mut().effects();
-        for effect in effects {
-            match effect {
-                Effect::Datagram(to, bytes) => self.send(to, &bytes),
-                Effect::Perform(permit) => self.perform(permit),
-                Effect::News(entry) => self.tell(entry),
-                Effect::Notice(notice) => self.log(notice),
-            }
-        }
-    }
-
     fn tell(&self, entry: Entry) {
         if self.0.news.try_send(entry).is_err() {
-            self.0.traffic.borrow_mut().news_dropped += 1;
-        }
-    }
-
-    fn send(&self, to: SocketAddr, bytes: &[u8]) {
-        let sent = self.0.socket.try_send_to(bytes, to);
-        let mut traffic = self.0.traffic.borrow_mut();
-        match sent {
-            Ok(n) => {
-                traffic.sent += 1;
-                traffic.sent_bytes += n as u64;
-            }
-            // Lost like any other: all that matters is asked again.
-            Err(_) => traffic.unsent += 1,
+            self.0.news_dropped.set(self.0.news_dropped.get() + 1);
         }
     }
 
@@ -260,37 +218,33 @@
     }
 }
 
-async fn run(handle: Handle) {
-    let shared = &handle.0;
-    let mut buffer = [0; MAX_DATAGRAM + 1];
-    loop {
-        let wake = shared.node.borrow().next_wake();
-        let wake = shared.work.origin + Duration::from_millis(wake);
-        tokio::select! {
-            ready = shared.socket.readable() => if ready.is_err() {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-            },
-            () = sleep_until(wake.into()) => {}
-            // Something was changed from outside, and with it the next timer.
-            () = shared.changed.notified() => {}
-        }
-        for _ in 0..BATCH {
-            let Ok((size, from)) = shared.socket.try_recv_from(&mut buffer) else {
-                break;
-            };
-            {
-                let mut traffic = shared.traffic.borrow_mut();
-                traffic.received += 1;
-                traffic.received_bytes += size as u64;
+impl Endpoint for Handle {
+    fn port(&self) -> &Port {
+        &self.0.port
+    }
+
+    fn receive(&self, from: SocketAddr, bytes: &[u8]) {
+        let now = now_of(self.0.work);
+        self.0.node.borrow_mut().receive(now, from, bytes);
+    }
+
+    fn next_wake(&self) -> Millis {
+        self.0.node.borrow().next_wake()
+    }
+
+    fn wake(&self) {
+        self.0.node.borrow_mut().wake(now_of(self.0.work));
+    }
+
+    fn carry_out(&self) {
+        let effects = self.0.node.borrow_mut().effects();
+        for effect in effects {
+            match effect {
+                Effect::Datagram(to, bytes) => self.0.port.send(to, &bytes),
+                Effect::Perform(permit) => self.perform(permit),
+                Effect::News(entry) => self.tell(entry),
+                Effect::Notice(notice) => self.log(notice),
             }
-            let now = now_of(shared.work);
-            shared.node.borrow_mut().receive(now, from, &buffer[..size]);
-        }
-        let now = now_of(shared.work);
-        if shared.node.borrow().next_wake() <= now.mono {
-            shared.node.borrow_mut().wake(now);
         }
-        handle.carry_out();
-        tokio::task::yield_now().await;
     }
 }
--- a/crates/distribution/src/store.rs
+++ b/crates/distribution/src/store.rs
@@ -10,10 +10,10 @@
 pub const MAX_BYTES: usize = 16 << 20;
 /// About what an entry takes beside its value.
 pub const ROW_COST: usize = 112;
-/// The highest version that is believed, 2^56 - 1. A version is a period (Unix time in periods) and 20 bits of
-/// steps in it: 36 bits of periods are enough for one every 100 ms until the year 2180. One above that is a fault
-/// or a lie, and taken it would hold its key for ever.
-pub const MAX_VERSION: u64 = (1 << 56) - 1;
+/// The highest version that is believed, 2^62 - 1. A version is a period of the duty and 20 bits of steps in it. A
+/// period is numbered by Unix time in milliseconds when its voters have forgotten the one before: 42 bits of it
+/// last until the year 2109. One above that is a fault or a lie, and taken it would hold its key for ever.
+pub const MAX_VERSION: u64 = (1 << 62) - 1;
 /// Branches of the hash tree, and leaves of a branch.
 pub const BRANCHES: usize = 64;
 /// Leaves of the hash tree.
--- a/crates/duties/src/board.rs
+++ b/crates/duties/src/board.rs
@@ -56,6 +56,11 @@
         self.entries.get(&key)
     }
 
+    /// All entries, in the order of their keys.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
     /// How many keys it holds.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -218,7 +218,7 @@
 }
 
 fn rate() -> u32 {
-    2000
+    4000
 }
 
 /// A balancer's part in it.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -4,7 +4,11 @@
 use comfy_table::{Table, presets};
 use spanspur::config::{Node, When};
 use spanspur_cluster::control::{DutiesAnswer, MembersAnswer, ask};
+use spanspur_cluster::distribution::{ChangesAnswer, End};
+use spanspur_distribution::follower::FollowerStatus;
+use spanspur_distribution::source::{Behind, SourceStatus};
 use spanspur_operator as operator;
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -35,6 +39,9 @@
     Duties(Asked),
     /// Which instances are there, and what was dropped of what they sent.
     Members(Asked),
+    /// How the list of servers is distributed: at a control instance its followers, and since when each change is in
+    /// force; at a balancer that follows, its sources and how old what it has is.
+    Changes(Asked),
 }
 
 /// How to serve.
@@ -91,6 +98,7 @@
             }
             Some(Command::Duties(asked)) => asked.duties(),
             Some(Command::Members(asked)) => asked.members(),
+            Some(Command::Changes(asked)) => asked.changes(),
         };
         Ok(match done {
             Ok(()) => ExitCode::SUCCESS,
@@ -205,15 +213,135 @@
             ]);
         }
         println!("{members}");
-        let mut counters = table(["counter", "so far"]);
-        for (name, count) in answer.counters.iter().filter(|(_, count)| **count > 0) {
-            counters.add_row([name.clone(), count.to_string()]);
+        println!("{}", counted(&answer.counters));
+        Ok(())
+    }
+
+    fn changes(&self) -> Result<(), String> {
+        let text = self.ask("changes")?;
+        let answer: ChangesAnswer = serde_json::from_str(&text).map_err(|_| {
+            let neither = "it neither distributes nor follows: its operator's file has no section";
+            format!("{neither} 'distribute' or 'follow' ({})", text.trim_end())
+        })?;
+        if self.json {
+            print!("{text}");
+            return Ok(());
         }
-        println!("{counters}");
+        match &answer.end {
+            End::Source { status, rate } => show_source(status, *rate),
+            End::Follower { status } => show_follower(status),
+        }
+        println!("{}", counted(&answer.counters));
         Ok(())
     }
 }
 
+/// Changes that the table shows; `--json` has all that are kept.
+const SHOWN: usize = 20;
+
+fn show_source(status: &SourceStatus, rate: u32) {
+    let mut source = table(["source", ""]);
+    let facts = [
+        ("name", status.name.clone()),
+        ("entries", status.entries.to_string()),
+        ("newest version", status.newest.to_string()),
+        ("age", age(status.age)),
+        ("followers", status.followers.to_string()),
+        ("follow it first", status.first.to_string()),
+        ("lag", status.lagging.to_string()),
+        ("in the dark", status.dark.to_string()),
+        ("budget", format!("{rate} pieces a second")),
+        ("spoken for", format!("{} ms ahead", status.ahead)),
+    ];
+    for (name, fact) in facts {
+        source.add_row([name.to_owned(), fact]);
+    }
+    println!("{source}");
+    let mut changes = table(["change", "version", "came", "in force", "at"]);
+    for change in status.changes.iter().take(SHOWN) {
+        changes.add_row([
+            format!("{:016x}", change.key),
+            change.version.to_string(),
+            format!("{} ms ago", change.ago),
+            match change.after {
+                Some(after) => format!("after {after} ms"),
+                None => "not yet".into(),
+            },
+            format!("{} followers", change.of),
+        ]);
+    }
+    println!("{changes}");
+    show_behind("lags", "by", status.lagging, &status.laggards);
+    show_behind("in the dark", "for", status.dark, &status.darkened);
+}
+
+fn show_behind(what: &str, how: &str, all: usize, some: &[Behind]) {
+    if all == 0 {
+        return;
+    }
+    let mut behind = table([what, how]);
+    for one in some {
+        let name = match one.name.is_empty() {
+            true => "?",
+            false => &one.name,
+        };
+        behind.add_row([name.to_owned(), format!("{} ms", one.since)]);
+    }
+    if all > some.len() {
+        behind.add_row([format!("and {} more", all - some.len()), String::new()]);
+    }
+    println!("{behind}");
+}
+
+fn show_follower(status: &FollowerStatus) {
+    let state = match (status.dark, status.full, status.catching_up) {
+        (true, ..) => "in the dark: no source answers",
+        (_, false, _) => "not full yet",
+        (_, _, true) => "catching up",
+        _ => "up to date as far as its age says",
+    };
+    let mut follower = table(["follower", ""]);
+    let facts = [
+        ("name", status.name.clone()),
+        ("state", state.to_owned()),
+        ("age", age(status.age)),
+        ("entries", status.entries.to_string()),
+        ("newest version", status.newest.to_string()),
+    ];
+    for (name, fact) in facts {
+        follower.add_row([name.to_owned(), fact]);
+    }
+    println!("{follower}");
+    let mut sources = table(["source", "followed", "state", "age"]);
+    for source in &status.sources {
+        sources.add_row([
+            source.name.clone(),
+            match source.role {
+                1 => "first",
+                2 => "second",
+                _ => "-",
+            }
+            .to_owned(),
+            if source.silent { "silent" } else { "" }.to_owned(),
+            age(source.age),
+        ]);
+    }
+    println!("{sources}");
+}
+
+fn age(ms: Option<u64>) -> String {
+    ms.map_or("nothing known yet".into(), |ms| format!("{ms} ms"))
+}
+
+/// The counters that have counted anything.
+fn counted(counters: &BTreeMap<String, u64>) -> Table {
+    let mut counted = table(["counter", "so far"]);
+    for (name, count) in counters.iter().filter(|(_, count)| **count > 0) {
+        counted.add_row([name.clone(), count.to_string()]);
+    }
+    counted
+}
+
 fn table<const N: usize>(head: [&str; N]) -> Table {
     let mut table = Table::new();
     table.load_style(presets::NOTHING).set_header(head);
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 mod net;
 
 use cli::{Cli, Serve};
-use net::duties::Shared;
+use net::duties::{Followed, Shared};
 use net::host::Host;
 use net::service::{Service, listener};
 use net::signals::{Reload, Signals};
@@ -121,11 +121,20 @@
         }
     };
     let shared = Shared::start(&host, &operator).await?;
+    let followed = Followed::start(&host, &operator).await?;
     let news = shared.as_ref().map(|shared| shared.news());
+    let news = news.or(followed.as_ref().map(|followed| followed.news()));
     spawn_local(director::run(host.clone(), watched, listed, news));
     spawn_local(accept(host.clone(), listener));
     service.takes_clients(&host).await;
-    let reload = Reload::new(host.clone(), discovery, serve, operator, shared.clone());
+    let reload = Reload::new(
+        host.clone(),
+        discovery,
+        serve,
+        operator,
+        shared.clone(),
+        followed,
+    );
     signals.serve(reload).await;
     if let Some(shared) = shared {
         shared.leave();
--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -47,6 +47,9 @@
             let place = *discovery.borrow_and_update();
             if std::mem::replace(&mut at, place) != place {
                 listed = None;
+                if let Some(news) = &news {
+                    news.moved();
+                }
             }
             tokio::select! {
                 biased;
@@ -64,6 +67,9 @@
                         continue;
                     }
                     tracing::info!(what, discovery = %at, "the watch on discovery ends");
+                    if let Some(news) = &news {
+                        news.failed();
+                    }
                     host.event(Event::ListFailed);
                     break;
                 }
--- a/src/net/duties/list.rs
+++ b/src/net/duties/list.rs
@@ -3,108 +3,37 @@
 //! come; as long as a head confirms all that they hold, they need not ask. Once that is too long ago they ask
 //! discovery themselves, from the revision that was last confirmed.
 
-use serde::{Deserialize, Serialize};
-use spanspur::api::{Member, MemberState, ServerId};
+use super::rows::{Head, NAME, Row, Told, View, hash};
 use spanspur::list::List;
-use spanspur_cluster::Handle;
 use spanspur_cluster::hook::{Duty, Outcome, Work};
 use spanspur_duties::board::Entry;
-use spanspur_duties::{DutyId, Millis, Permit};
+use spanspur_duties::{Millis, Permit};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
-const NAME: &str = "list";
 /// A head is told so often within the age that news may have.
 const HEADS: u64 = 4;
 /// Versions within one period of the duty.
 const STEPS: u32 = 20;
-/// The first byte of a value: a head, or a server.
-const HEAD: u8 = 0;
-const SERVER: u8 = 1;
 
-/// A server as it goes over the board.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct Row {
-    id: u64,
-    zone: u32,
-    /// 0 ready, 1 draining, 2 gone.
-    state: u8,
-    weight: f64,
-    started: f64,
-    cell: u32,
-    address: SocketAddr,
-}
-
-/// What confirms the rows.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-struct Head {
-    revision: u64,
-    /// Over all rows that are not gone.
-    hash: u64,
-}
-
-impl Row {
-    fn of(member: &Member, address: SocketAddr) -> Self {
-        Self {
-            id: member.id.0,
-            zone: member.zone,
-            state: member.state as u8,
-            weight: member.weight,
-            started: member.started,
-            cell: member.cell,
-            address,
-        }
-    }
-
-    /// The row of an entry, if it is one.
-    fn read(entry: &Entry) -> Option<Self> {
-        let value = entry.value.strip_prefix(&[SERVER])?;
-        let row: Self = postcard::from_bytes(value).ok()?;
-        (row.key() == entry.key).then_some(row)
-    }
-
-    fn member(&self) -> Member {
-        Member {
-            id: ServerId(self.id),
-            zone: self.zone,
-            state: match self.state {
-                0 => MemberState::Ready,
-                1 => MemberState::Draining,
-                _ => MemberState::Gone,
-            },
-            weight: self.weight,
-            started: self.started,
-            cell: self.cell,
-        }
-    }
-
-    fn is_gone(&self) -> bool {
-        self.member().state == MemberState::Gone
-    }
-
-    fn key(&self) -> u64 {
-        DutyId::of(&format!("{NAME}/{:016x}", self.id)).0
-    }
-}
-
-fn hash(rows: &BTreeMap<u64, Row>) -> u64 {
-    let here = rows.values().filter(|row| !row.is_gone());
-    let bytes = here.flat_map(|row| postcard::to_stdvec(row).unwrap_or_default());
-    DutyId::of(&String::from_utf8_lossy(&bytes.collect::<Vec<u8>>())).0
-}
+/// Where what this instance tells goes.
+pub type Publish = Box<dyn Fn(Vec<Entry>)>;
 
 /// The list between instances. See the module's page.
 pub struct ListNews {
-    handle: Handle,
+    publish: Publish,
+    /// Balancers outside the cluster are told as well.
+    distributes: bool,
     /// News may be this old; `None` while the duty is off.
     max_age: Cell<Option<Millis>>,
     rows: RefCell<BTreeMap<u64, Row>>,
+    /// At a balancer outside the cluster: the list as its sources have brought it.
+    view: RefCell<View>,
     head: Cell<Option<(u64, Head)>>,
     /// The revision that a head has confirmed, and when.
     confirmed: Cell<Option<(u64, Instant)>>,
@@ -113,21 +42,32 @@
     leads: Cell<Option<(u64, u64, Instant)>>,
     /// The revision of this instance's own watch, and whether it has a list of its own at all.
     own: Cell<Option<u64>>,
+    /// The revision that the discovery that is watched now has told last.
+    told: Cell<Option<u64>>,
+    /// The head that was distributed last.
+    distributed: Cell<Option<Head>>,
+    /// Discovery has not answered this process, and its watch there has failed.
+    blind: Cell<bool>,
     stopped: Cell<bool>,
 }
 
 impl ListNews {
     /// Nothing known yet.
-    pub fn new(handle: Handle) -> Self {
+    pub fn new(publish: Publish, distributes: bool) -> Self {
         Self {
-            handle,
+            publish,
+            distributes,
             max_age: Cell::new(None),
             rows: RefCell::default(),
+            view: RefCell::default(),
             head: Cell::new(None),
             confirmed: Cell::new(None),
             changed: Notify::new(),
             leads: Cell::new(None),
             own: Cell::new(None),
+            told: Cell::new(None),
+            distributed: Cell::new(None),
+            blind: Cell::new(false),
             stopped: Cell::new(false),
         }
     }
@@ -145,7 +85,7 @@
 
     /// Whether an entry of the board is one of the list.
     pub fn is_ours(&self, entry: &Entry) -> bool {
-        entry.key == DutyId::of(NAME).0 || Row::read(entry).is_some()
+        Told::read(entry).is_some()
     }
 
     fn fresh_until(&self) -> Option<Instant> {
@@ -186,29 +126,98 @@
 
     /// Takes an entry of the board: what of the list it changes here.
     pub fn take(&self, entry: &Entry) -> Option<List> {
-        let (kind, value) = entry.value.split_first()?;
-        if entry.key == DutyId::of(NAME).0 && *kind == HEAD {
-            let head: Head = postcard::from_bytes(value).ok()?;
-            self.head.set(Some((entry.version, head)));
-            self.confirm();
+        match Told::read(entry)? {
+            Told::Beat(head) => {
+                self.head.set(Some((entry.version, head)));
+                self.confirm();
+                None
+            }
+            // For balancers outside the cluster.
+            Told::Head(_) => None,
+            Told::Row(row) => {
+                let member = (row.member(), row.address);
+                self.rows.borrow_mut().insert(row.id, row);
+                self.confirm();
+                Some(List {
+                    members: vec![member],
+                    ..List::default()
+                })
+            }
+        }
+    }
+
+    /// At a balancer outside the cluster: takes entries that its sources have brought, and how old what they have
+    /// brought is. What comes back is the whole list where it begins to be trusted, and changes afterwards.
+    ///
+    /// It is trusted while it is whole, young enough, and not behind what discovery itself has told this balancer:
+    /// a source that was cut off for an hour must not undo what is known here. Where discovery has never answered
+    /// and does not now, an old list is better than none.
+    pub fn follow(&self, entries: &[Entry], age: Option<Millis>) -> Option<List> {
+        let before = self.fresh_until().is_some();
+        let mut view = self.view.borrow_mut();
+        let came: Vec<Row> = entries.iter().filter_map(|e| view.take(e)).collect();
+        if let (Some(head), Some(age)) = (view.whole(), age)
+            && self.told.get().is_none_or(|told| head.revision >= told)
+            && view.rows().any(|row| !row.is_gone())
+            && let Some(as_of) = Instant::now().checked_sub(Duration::from_millis(age))
+        {
+            let last = self.confirmed.get().map(|(_, at)| at);
+            if last.is_none_or(|last| last < as_of) {
+                self.confirmed.set(Some((head.revision, as_of)));
+            }
+        }
+        let trusted = self.fresh_until().is_some();
+        let revision = self.confirmed.get().map_or(0, |(revision, _)| revision);
+        let members = |rows: &mut dyn Iterator<Item = &Row>| {
+            rows.map(|row| (row.member(), row.address)).collect()
+        };
+        let mut rows = self.rows.borrow_mut();
+        if trusted && !before {
+            *rows = view.rows().map(|row| (row.id, row.clone())).collect();
+            self.changed.notify_waiters();
+            return Some(List {
+                revision,
+                complete: true,
+                members: members(&mut rows.values().filter(|row| !row.is_gone())),
+                unusable: None,
+            });
+        }
+        let came: Vec<Row> = match (trusted, self.blind.get()) {
+            (true, _) => came,
+            (false, true) => {
+                let new = |row: &&Row| rows.get(&row.id) != Some(*row);
+                view.rows().filter(new).cloned().collect()
+            }
+            (false, false) => Vec::new(),
+        };
+        if came.is_empty() {
             return None;
         }
-        let row = Row::read(entry)?;
-        let member = (row.member(), row.address);
-        self.rows.borrow_mut().insert(row.id, row);
-        self.confirm();
+        rows.extend(came.iter().map(|row| (row.id, row.clone())));
         Some(List {
-            members: vec![member],
-            ..List::default()
+            revision,
+            complete: false,
+            members: members(&mut came.iter()),
+            unusable: None,
         })
     }
 
+    /// Another discovery is watched from here on; it counts its versions as it likes.
+    pub fn moved(&self) {
+        self.told.set(None);
+    }
+
+    /// Our own watch has failed.
+    pub fn failed(&self) {
+        self.blind.set(self.own.get().is_none());
+    }
+
     /// All rows that the head counts are here: the list is as the other instance has it.
     fn confirm(&self) {
         let Some((version, head)) = self.head.get() else {
             return;
         };
-        if head.hash == hash(&self.rows.borrow()) && version > 0 {
+        if version > 0 && head.hash == hash(self.rows.borrow().values()) {
             self.confirmed.set(Some((head.revision, Instant::now())));
             // The same head confirms once: it ages from now on.
             self.head.set(Some((0, head)));
@@ -229,11 +238,16 @@
             if list.complete {
                 for row in rows.values_mut().filter(|row| !named.contains_key(&row.id)) {
                     if !row.is_gone() {
-                        row.state = MemberState::Gone as u8;
+                        row.go();
                         changed.push(row.clone());
                     }
                 }
             }
+            // Nobody may be left who could tell of these: all control instances were replaced, say.
+            self.view.borrow_mut().drop_rows(|id| match named.get(&id) {
+                Some(row) => row.is_gone(),
+                None => list.complete,
+            });
             for (id, row) in named {
                 if rows.get(&id) != Some(&row) {
                     changed.push(row.clone());
@@ -242,6 +256,8 @@
             }
         }
         self.own.set(Some(list.revision));
+        self.told.set(Some(list.revision));
+        self.blind.set(false);
         if self.leading() {
             self.tell(changed);
         }
@@ -260,26 +276,18 @@
             step = (step + 1).min((1 << STEPS) - 1);
             period << STEPS | step
         };
-        let value = |kind: u8, bytes: Vec<u8>| [vec![kind], bytes].concat();
-        let mut entries: Vec<Entry> = rows
-            .iter()
-            .map(|row| Entry {
-                key: row.key(),
-                version: version(),
-                value: value(SERVER, postcard::to_stdvec(row).unwrap_or_default()),
-            })
-            .collect();
         let head = Head {
             revision,
-            hash: hash(&self.rows.borrow()),
+            hash: hash(self.rows.borrow().values()),
         };
-        entries.push(Entry {
-            key: DutyId::of(NAME).0,
-            version: version(),
-            value: value(HEAD, postcard::to_stdvec(&head).unwrap_or_default()),
-        });
+        let mut told: Vec<Told> = rows.into_iter().map(Told::Row).collect();
+        if self.distributes && self.distributed.replace(Some(head)) != Some(head) {
+            told.push(Told::Head(head));
+        }
+        told.push(Told::Beat(head));
+        let entries = told.iter().map(|told| told.entry(version())).collect();
         self.leads.set(Some((period, step, until)));
-        self.handle.publish(entries);
+        (self.publish)(entries);
     }
 
     /// The duty is ours for a period: all rows are told at its start if it is new here, a head again and again.
@@ -302,6 +310,7 @@
         if !was {
             tracing::info!(period = permit.period, "watches discovery for all");
             let all = self.rows.borrow().values().cloned().collect();
+            self.distributed.set(None);
             self.tell(all);
         }
         let period = permit.period;
--- a/src/net/duties/mod.rs
+++ b/src/net/duties/mod.rs
@@ -1,12 +1,17 @@
 //! What balancers of one cluster do for each other: probes and the watch on discovery, each done by one instance.
-//! All of it is off unless the operator's file has the section `cluster`.
+//! All of it is off unless the operator's file has the section `cluster`. Balancers outside the cluster follow it for
+//! the list: that is off unless the file has `distribute` there and `follow` here.
 
+mod distribute;
 mod list;
 mod probe;
+mod rows;
 
+pub use distribute::Followed;
 pub use list::ListNews;
 
 use super::host::Host;
+use distribute::Distribution;
 use list::ListDuty;
 use probe::{ProbeDuty, Probed};
 use spanspur::api::{Event, ServerId};
@@ -17,7 +22,7 @@
 use spanspur_duties::division::Ranking;
 use spanspur_membership::{Identity, Key, Keys, Pace};
 use spanspur_operator::Operator;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
@@ -34,6 +39,9 @@
     name: Rc<str>,
     operator: RefCell<Operator>,
     news: Rc<ListNews>,
+    distribution: Option<Rc<Distribution>>,
+    /// News that found no room so far: after more of them the whole board is looked through.
+    dropped: Cell<u64>,
     /// The servers that are probed, by their key on the board.
     probed: RefCell<BTreeMap<u64, ServerId>>,
 }
@@ -72,21 +80,39 @@
                 answer: Duration::from_millis(cluster.pace.answer_ms),
                 suspicion: Duration::from_millis(cluster.pace.suspicion_ms),
             },
-            ranking: Ranking(|duty, instance| score(api::Key(duty), ServerId(instance), 1.0)),
+            ranking: Ranking(score_of),
             seed: node.seed ^ api::Key::of("cluster").0,
         };
         let started = Cluster::start(setup).await;
         let (handle, fresh) =
             started.map_err(|e| format!("cluster.listen: {}: {e}", cluster.listen))?;
+        let distribution = match &operator.distribute {
+            Some(settings) => Some(Distribution::start(settings, &name, &cluster.keys).await?),
+            None => None,
+        };
         if let Some(control) = &operator.control {
-            control::serve(handle.clone(), &control.socket)
+            let (of_cluster, of_changes) = (control::answers(handle.clone()), distribution.clone());
+            let answers = Rc::new(move |question: &str| match (question, &of_changes) {
+                ("changes", Some(distribution)) => Some(control::to_json(&distribution.answer())),
+                _ => of_cluster(question),
+            });
+            control::serve(answers, &control.socket)
                 .map_err(|e| format!("control.socket: {}: {e}", control.socket.display()))?;
         }
         tracing::info!(instance = name, address = %cluster.listen, "joins its cluster");
+        let (board, passes_on) = (handle.clone(), distribution.clone());
+        let publish = Box::new(move |entries: Vec<Entry>| {
+            if let Some(distribution) = &passes_on {
+                entries.iter().for_each(|entry| distribution.take(entry));
+            }
+            board.publish(entries);
+        });
         let shared = Rc::new(Self {
             host: host.clone(),
-            news: Rc::new(ListNews::new(handle.clone())),
+            news: Rc::new(ListNews::new(publish, distribution.is_some())),
             handle,
+            distribution,
+            dropped: Cell::new(0),
             name: name.into(),
             operator: RefCell::new(operator.clone()),
             probed: RefCell::default(),
@@ -106,6 +132,10 @@
         if let Some(cluster) = &operator.cluster {
             self.handle
                 .rekey(keys(&cluster.keys), cluster.seeds.clone());
+            if let (Some(distribution), Some(settings)) = (&self.distribution, &operator.distribute)
+            {
+                distribution.configure(settings, &cluster.keys);
+            }
         }
         self.operator.replace(operator);
         self.register();
@@ -168,6 +198,7 @@
     async fn take_news(self: Rc<Self>, mut fresh: mpsc::Receiver<Entry>) {
         while let Some(entry) = fresh.recv().await {
             if self.news.is_ours(&entry) {
+                self.distribute(&entry);
                 // A head confirms what is known and changes nothing.
                 if let Some(list) = self.news.take(&entry) {
                     self.host.list(api::ListKind::Delta, list);
@@ -181,6 +212,21 @@
         }
     }
 
+    /// Passes an entry of the list on to balancers outside the cluster.
+    fn distribute(&self, entry: &Entry) {
+        let Some(distribution) = &self.distribution else {
+            return;
+        };
+        let dropped = self.handle.news_dropped();
+        if self.dropped.replace(dropped) != dropped {
+            let board: Vec<Entry> = self
+                .handle
+                .with(|node, _| node.board().iter().cloned().collect());
+            board.iter().for_each(|entry| distribution.take(entry));
+        }
+        distribution.take(entry);
+    }
+
     fn probe_told(&self, server: ServerId, probed: Probed) {
         let every = match &self.operator.borrow().duties.probe {
             Some(probe) => probe.every_ms as f64 / 1000.0,
@@ -197,6 +243,11 @@
     }
 }
 
+/// The score by which instances rank, for a duty or a follower.
+fn score_of(of: u64, instance: u64) -> f64 {
+    score(api::Key(of), ServerId(instance), 1.0)
+}
+
 fn keys(secrets: &[String]) -> Keys {
     Keys(secrets.iter().map(|s| Key::new(s.as_bytes())).collect())
 }
--- a/src/net/host.rs
+++ b/src/net/host.rs
@@ -4,7 +4,7 @@
 use super::check;
 use super::delay::{Delays, Report, Reports};
 use super::room::Room;
-use super::service::handover::{Giving, Known};
+use super::service::handover::{self, Giving, Known};
 use spanspur::Balancer;
 use spanspur::api::*;
 use spanspur::config::Node;
@@ -243,6 +243,24 @@
         self.listed.notify_one();
     }
 
+    /// Takes a list that control instances gave in discovery's stead; other processes of this balancer hear of it as
+    /// if it had come from there.
+    pub fn followed(self: &Rc<Self>, list: List) {
+        let kind = match list.complete {
+            true => ListKind::Full,
+            false => ListKind::Delta,
+        };
+        tracing::debug!(
+            revision = list.revision,
+            complete = list.complete,
+            entries = list.members.len(),
+            "a followed list"
+        );
+        self.heard.set(true);
+        self.tell(|| handover::news(&list));
+        self.list(kind, list);
+    }
+
     /// Which backends the staff has taken out.
     pub fn outs(&self) -> Outs {
         self.state.borrow().outs.clone()
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,6 +1,6 @@
 //! The signals of the process: SIGHUP takes over the configuration as it is now, SIGTERM ends it.
 
-use super::duties::Shared;
+use super::duties::{Followed, Shared};
 use super::host::Host;
 use crate::cli::Serve;
 use crate::read_operator;
@@ -45,6 +45,7 @@
     serve: Serve,
     operator: Operator,
     shared: Option<Rc<Shared>>,
+    followed: Option<Rc<Followed>>,
 }
 
 impl Reload {
@@ -55,6 +56,7 @@
         serve: Serve,
         operator: Operator,
         shared: Option<Rc<Shared>>,
+        followed: Option<Rc<Followed>>,
     ) -> Self {
         Self {
             host,
@@ -62,6 +64,7 @@
             serve,
             operator,
             shared,
+            followed,
         }
     }
 
@@ -80,6 +83,9 @@
         if let Some(shared) = &self.shared {
             shared.configure(operator.clone());
         }
+        if let (Some(followed), Some(follow)) = (&self.followed, &operator.follow) {
+            followed.configure(follow);
+        }
         self.operator = operator;
     }
 
