--- a/src/net/duties/distribute.rs
+++ b/src/net/duties/distribute.rs
@@ -67,16 +67,14 @@
     /// passed on, followers may count on it as of now.
     pub fn take(&self, entry: &Entry) {
         match Told::read(entry) {
-            Some(Told::Beat(beat)) => {
-                if self.view.borrow_mut().whole() == Some(beat) {
-                    self.distributor.heard();
-                }
+            Some(Told::Beat(beat)) if self.view.borrow_mut().whole() == Some(beat) => {
+                self.distributor.heard();
             }
             Some(Told::Head(_) | Told::Row(_)) => {
                 self.view.borrow_mut().take(entry);
                 self.distributor.publish(std::slice::from_ref(entry));
             }
-            None => {}
+            Some(Told::Beat(_)) | None => {}
         }
     }
 
