Wait until what the source that is cut off has is old

Need: a balancer that takes whatever a source says went unnoticed on trial where the source that is cut off still had its turn to watch discovery and so told the change itself. Change: its turn is over before the change is made.

--- a/tests/distribution/main.rs
+++ b/tests/distribution/main.rs
@@ -253,6 +253,8 @@
     );
     fleet.cluster.write_operator(cut);
     fleet.cluster.signal(cut, "-HUP");
+    // If it watched discovery for all, its turn is over by then: what it has is old.
+    std::thread::sleep(Duration::from_secs(3));
     let key = fleet.drains(5, "one cut off");
     // Its followers lose what they know, and ask it too.
     for i in followers() {
