--- a/crates/cluster/src/driver.rs
+++ b/crates/cluster/src/driver.rs
@@ -2,7 +2,8 @@
 
 use crate::hook::{Duty, Work};
 use crate::node::{Effect, Node, Notice, Setup};
-use crate::port::{self, Endpoint, Port, Traffic};
+pub use crate::port::Traffic;
+use crate::port::{self, Endpoint, Port};
 use spanspur_duties::board::Entry;
 use spanspur_duties::{Millis, Now, Permit};
 use spanspur_membership::Keys;
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -2,12 +2,18 @@
 //! processes on loopback, with faults from a seed, and a judge who knows the truth.
 #![forbid(unsafe_code)]
 
+pub mod capacity;
 pub mod charts;
+pub mod data_path;
+pub mod distribution;
 pub mod judge;
 pub mod measure;
+pub mod meter;
 pub mod real;
+pub mod scale;
 pub mod series;
 pub mod soak;
+pub mod sockets;
 pub mod world;
 
 pub use judge::{Act, Judge, Verdict};
