--- a/src/net/director.rs
+++ b/src/net/director.rs
@@ -51,6 +51,9 @@
             let place = *discovery.borrow_and_update();
             if std::mem::replace(&mut at, place) != place {
                 listed = None;
+                if let Some(news) = &news {
+                    news.moved();
+                }
             }
             tokio::select! {
                 biased;
@@ -68,6 +71,9 @@
                         continue;
                     }
                     tracing::info!(what, discovery = %at, "the watch on discovery ends");
+                    if let Some(news) = &news {
+                        news.failed();
+                    }
                     // A wish from before was met by the call that has failed: the pause from here on is the module's.
                     pin!(host.watch.notified()).enable();
                     host.event(Event::ListFailed);
