--- a/crates/fleet-rig/src/capacity/data.rs
+++ b/crates/fleet-rig/src/capacity/data.rs
@@ -9,6 +9,10 @@
 /// What would put a row right that asks more than a core of one process.
 const PROCESSES: &str = "a balancer of several processes: missing";
 
+/// What would make a placement cheap while many servers are cold.
+const COLD: &str =
+    "a placement that does not look at each cold server for each: missing (`src/choice.rs`)";
+
 /// Connections that stand at one balancer.
 pub fn connections(book: &Book) -> Figure {
     book.given("connections") / book.given("balancers")
@@ -24,28 +28,33 @@
     connections(book) / book.given("connection-life")
 }
 
-/// New connections a second at one balancer that stays, while those of a lost zone come again.
-fn arrivals_zone_lost(book: &Book) -> Figure {
+/// Connections a second that come again at one balancer that stays, of those of a lost zone.
+fn come_again_zone_lost(book: &Book) -> Figure {
     let zones = book.given("zones");
     // The balancers that stay take the zone's clients, and those that stood at the zone's stream servers.
     let balancers = book.given("balancers") * (zones.clone() - 1.0) / zones.clone();
     let lost = book.given("connections") / zones.clone();
     let at_servers = lost.clone() * (zones.clone() - 1.0) / zones;
-    arrivals(book) + (lost + at_servers) / book.given("come-back") / balancers
+    (lost + at_servers) / book.given("come-back") / balancers
+}
+
+/// The same while each balancer's come again once, over the time that a release takes.
+fn come_again_release(book: &Book) -> Figure {
+    connections(book) / (book.given("release-minutes") * 60.0)
 }
 
 /// The data path's rows.
 pub fn rows(book: &Book) -> Vec<Row> {
     let core = || Limit::Own(Figure::of(1.0), "one process runs on one core");
-    let relay = Mechanism::Is("src/net/relay.rs", "pub async fn");
+    let relay = Mechanism::Is("src/net/relay.rs", "pub fn relay(");
     let place = Mechanism::Is("src/choice.rs", "fn choose");
     let list = Mechanism::Is("src/net/director.rs", "async fn follow");
     let stand = connections(book);
     let memory = || Limit::Own(book.given("balancer-memory") * 1e9, "assumed");
     let zones = book.given("zones");
     let more = zones.clone() / (zones - 1.0);
-    // Processor time a second, by deliveries a second: its slope is the seconds of one delivery.
-    let a_delivery = book.slope("delivery-cpu", Unit::Cores, &deliveries(book));
+    let a_delivery = book.slope("delivery, processor", Unit::Seconds, &deliveries(book));
+    let an_opening = || book.slope("opening, processor", Unit::Seconds, &arrivals(book));
     let mut rows = vec![
         Row::new("connections that stand", "all", Unit::Count, stand.clone()),
         Row::new(
@@ -59,7 +68,7 @@
             "memory of the process for what stands",
             "all",
             Unit::Bytes,
-            stand.clone() * book.slope("standing-memory", Unit::Bytes, &stand),
+            stand.clone() * book.slope("standing, memory", Unit::Bytes, &stand),
         )
         .limit(memory())
         .by(relay),
@@ -67,56 +76,67 @@
             "memory of the kernel for what stands",
             "all",
             Unit::Bytes,
-            stand.clone() * book.slope("standing-kernel", Unit::Bytes, &stand),
+            stand.clone() * book.slope("standing, kernel", Unit::Bytes, &stand),
         )
         .limit(memory())
         .by(Mechanism::Outside("the kernel")),
     ];
-    let relayed = [
-        ("mean", deliveries(book)),
+    let at_top = || deliveries(book) * book.given("deliveries-busiest");
+    let opened_at_top = || arrivals(book) * book.given("arrivals-busiest");
+    let (warm, half_cold) = ("placement, none cold", "placement, half cold");
+    let situations = [
+        ("mean", deliveries(book), arrivals(book), warm),
+        ("busiest minute", at_top(), opened_at_top(), warm),
         (
-            "busiest minute",
-            deliveries(book) * book.given("deliveries-busiest"),
+            "zone lost, in the busiest minute",
+            at_top() * more,
+            opened_at_top() + come_again_zone_lost(book),
+            warm,
         ),
         (
-            "zone lost, in the busiest minute",
-            deliveries(book) * book.given("deliveries-busiest") * more,
+            "release of all balancers, in the busiest minute",
+            at_top(),
+            opened_at_top() + come_again_release(book),
+            warm,
+        ),
+        (
+            "half of the servers cold, in the busiest minute",
+            at_top(),
+            opened_at_top(),
+            half_cold,
         ),
     ];
-    for (when, rate) in relayed {
+    for (when, delivered, opened, series) in situations {
+        let placed = opened.clone() * book.at(series, Unit::Seconds, book.given("servers"));
+        let relayed = delivered * a_delivery.clone();
+        // An opening was measured with one server known: its placement is as good as none.
+        let all = relayed.clone() + placed.clone() + opened.clone() * an_opening();
+        rows.push(Row::new("new connections", when, Unit::Rate, opened).by(place));
+        rows.push(
+            Row::new("processor for placements alone", when, Unit::Cores, placed)
+                .limit(core())
+                .by(place)
+                .answer(COLD),
+        );
+        rows.push(Row::new("processor for deliveries alone", when, Unit::Cores, relayed).by(relay));
         rows.push(
             Row::new(
-                "processor for deliveries",
+                "processor for openings, placements and deliveries",
                 when,
                 Unit::Cores,
-                rate * a_delivery.clone(),
+                all,
             )
             .limit(core())
             .by(relay)
             .answer(PROCESSES),
         );
     }
-    let busiest = deliveries(book) * book.given("deliveries-busiest") * a_delivery
-        + arrivals(book)
-            * book.given("arrivals-busiest")
-            * book.at("placement-warm", Unit::Seconds, book.given("servers"));
-    rows.push(
-        Row::new(
-            "processor for deliveries and placements, of all cores",
-            "busiest minute",
-            Unit::Cores,
-            busiest,
-        )
-        .limit(Limit::Own(book.given("balancer-cores"), "assumed"))
-        .by(relay)
-        .answer(PROCESSES),
-    );
     rows.push(
         Row::new(
             "a delivery's time on the way, 99 in 100",
             "mean",
             Unit::Seconds,
-            book.at("delivery-time", Unit::Seconds, deliveries(book)),
+            book.at("delivery, time", Unit::Seconds, deliveries(book)),
         )
         .limit(Limit::Letter(book.given("delivery-ms") / 1000.0))
         .by(relay),
@@ -135,8 +155,8 @@
     );
     for servers in [90.0, 1000.0, 5000.0, 20_000.0] {
         for (series, cold) in [
-            ("placement-warm", "all warm"),
-            ("placement-cold", "half cold"),
+            ("placement, none cold", "all warm"),
+            ("placement, half cold", "half cold"),
         ] {
             rows.push(
                 Row::new(
@@ -149,33 +169,9 @@
             );
         }
     }
-    let placed = [
-        ("mean", arrivals(book), "placement-warm"),
-        (
-            "busiest minute",
-            arrivals(book) * book.given("arrivals-busiest"),
-            "placement-warm",
-        ),
-        ("zone lost", arrivals_zone_lost(book), "placement-cold"),
-        (
-            "release of everything",
-            arrivals_release(book),
-            "placement-cold",
-        ),
-    ];
-    for (when, rate, series) in placed {
-        rows.push(Row::new("new connections", when, Unit::Rate, rate.clone()).by(place));
-        let each = book.at(series, Unit::Seconds, book.given("servers"));
-        rows.push(
-            Row::new("processor for placements", when, Unit::Cores, rate * each)
-                .limit(core())
-                .by(place)
-                .answer(PROCESSES),
-        );
-    }
     for (series, what) in [
-        ("list-whole", "a whole list taken in"),
-        ("list-one", "a list of one entry taken in"),
+        ("list, whole, time", "a whole list taken in"),
+        ("list, one entry, time", "a list of one entry taken in"),
     ] {
         rows.push(
             Row::new(
@@ -195,7 +191,12 @@
             "processor for lists of one entry",
             "busiest minute",
             Unit::Cores,
-            changes * book.at("list-one", Unit::Seconds, book.given("servers")),
+            changes
+                * book.at(
+                    "list, one entry, time",
+                    Unit::Seconds,
+                    book.given("servers"),
+                ),
         )
         .limit(Limit::Letter(book.given("control-core")))
         .by(list),
@@ -209,16 +210,14 @@
                 / (book.code("src/net/service/mod.rs", "EMPTY_BY")
                     - book.code("src/net/service/mod.rs", "ARRIVALS")),
         )
-        .by(Mechanism::Is("crates/service/src/pace.rs", "pub struct")),
+        .by(Mechanism::Is(
+            "crates/service/src/pace.rs",
+            "pub struct Pace",
+        )),
     );
     rows
 }
 
-/// New connections a second at one balancer while all of them come again once, over the time a release takes.
-fn arrivals_release(book: &Book) -> Figure {
-    arrivals(book) + connections(book) / (book.given("release-minutes") * 60.0)
-}
-
 /// Assumptions, or the letter's figures, as a table.
 pub fn given_table(given: &BTreeMap<String, Given>, assumed: bool) -> String {
     let mut text = String::from(match assumed {
--- a/crates/fleet-rig/src/capacity/mod.rs
+++ b/crates/fleet-rig/src/capacity/mod.rs
@@ -37,7 +37,8 @@
         ("shared", edges::shared(book)),
         ("troubles", edges::troubles(book)),
         ("series", data::series_table(book)),
-        ("ranking", rank::table(book, &groups)),
+        ("ranking", rank::table(book, &groups, false)),
+        ("ranking-built", rank::table(book, &groups, true)),
         ("left", rank::lacking(&groups)),
     ]);
     tables.extend(
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod capacity;
 pub mod charts;
+pub mod data_path;
+pub mod distribution;
 pub mod judge;
 pub mod measure;
 pub mod meter;
