Count each listener once by its inode in the test of a process without an operator's file

It counted rows of the kernel's table of sockets in which any word was one of the process's inodes; such a table is read in pieces, and a row may come twice while thousands of other sockets come and go (a guess: the one failure was not seen again). Change: the inode's column alone, each inode once. As strict: a second listener has an inode of its own. The pace's page says that a place's pieces go at once.

--- a/crates/distribution/src/pace.rs
+++ b/crates/distribution/src/pace.rs
@@ -10,7 +10,8 @@
 pub const SLOT_KEPT: Millis = 200;
 
 /// The schedule of a source's pieces. In any span of T milliseconds it lets through no more than
-/// `rate * (T + 2 * SLOT_KEPT) / 1000 + burst` pieces: what is spoken for, with what places may come early or late.
+/// `rate * (T + 2 * SLOT_KEPT) / 1000 + burst` pieces, and those of one place: what is spoken for, with what places may
+/// come early or late, and all pieces of a place may go at its beginning.
 #[derive(Clone, Debug)]
 pub struct Pace {
     /// Nanoseconds between two pieces.
--- a/tests/cluster/main.rs
+++ b/tests/cluster/main.rs
@@ -2,6 +2,7 @@
 //! servers' own record.
 
 use spanspur_fleet_rig::real::*;
+use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
@@ -231,11 +232,12 @@
     let among = |table: &str, state: &str| {
         let table = std::fs::read_to_string(proc.join("net").join(table)).unwrap_or_default();
         let rows = table.lines().skip(1).filter(|row| row.contains(state));
-        rows.filter(|row| {
-            row.split_whitespace()
-                .any(|word| held.iter().any(|h| h == word))
-        })
-        .count()
+        // Each socket once, by its inode: the table is read in pieces, and while others come and go a row may come twice.
+        let inodes = rows.filter_map(|row| row.split_whitespace().nth(9));
+        let own: BTreeSet<&str> = inodes
+            .filter(|inode| held.iter().any(|h| h == inode))
+            .collect();
+        own.len()
     };
     // State 0A of a row is 'listens'.
     let found = (among("tcp", " 0A "), among("udp", ""), among("udp6", ""));
