Distribution over loopback sockets: 9 control instances, up to 2,100 followers

Change: `distribution sockets` of the rig plays the program's own drivers in real time, the control instances on one thread and the followers on another. One control instance's board is published on without a claim or a duty and confirms the list every 250 ms, as the duty's holder would. Results are under `sockets` in distribution.json, with a table beside the virtual figures.

--- a/crates/fleet-rig/src/distribution/measure.rs
+++ b/crates/fleet-rig/src/distribution/measure.rs
@@ -3,6 +3,7 @@
 
 use super::chaos;
 use super::checker::Wrong;
+use super::sockets::{self, Play, Sockets};
 use super::world::{self, CONTROLS, Fault, Meter, Plan, REGIONS, VALUE, World, key};
 use crate::charts;
 use crate::series::{Measured, Series};
@@ -15,7 +16,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::path::Path;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The balancers and the servers that the operators name.
 const BALANCERS: usize = 2100;
@@ -23,6 +24,10 @@
 /// Followers of the stepped runs, and entries.
 const FOLLOWERS: [usize; 6] = [100, 300, 600, 1000, 1500, 2100];
 const ENTRIES: [usize; 5] = [630, 1000, 2500, 5000, 10_000];
+/// Followers of the runs over sockets, their changes, and for how long the rest is measured.
+const OVER_SOCKETS: [usize; 4] = [100, 300, 1000, 2100];
+const SOCKET_CHANGES: usize = 10;
+const SOCKET_REST: Duration = Duration::from_secs(5);
 /// Followers that start one after another where the time until they are full is taken.
 const FILLING: usize = 60;
 /// Runs behind each point.
@@ -227,6 +232,7 @@
     cuts: Vec<Cut>,
     starts: Vec<Start>,
     seeds: Option<Seeds>,
+    sockets: Vec<Sockets>,
 }
 
 /// A part of the runs.
@@ -242,9 +248,11 @@
     Cut,
     /// The start of many.
     Start,
+    /// Over sockets in real time.
+    Sockets,
 }
 
-fn spread(values: impl IntoIterator<Item = u64>) -> Spread {
+pub(super) fn spread(values: impl IntoIterator<Item = u64>) -> Spread {
     let mut histogram = Histogram::<u64>::new(3).expect("three digits");
     for value in values {
         histogram.record(value).expect("in range");
@@ -795,6 +803,20 @@
             starts.iter().for_each(|s| println!("{s:?}"));
             change(folder, |results| results.starts = starts)
         }
+        Part::Sockets => {
+            let mut runs = Vec::new();
+            for followers in OVER_SOCKETS {
+                let run = sockets::play(Play {
+                    followers,
+                    entries: SERVERS,
+                    changes: SOCKET_CHANGES,
+                    rest: SOCKET_REST,
+                })?;
+                println!("{run:?}");
+                runs.push(run);
+            }
+            change(folder, |results| results.sockets = runs)
+        }
     }
 }
 
@@ -991,7 +1013,7 @@
 fn table(results: &Results, measured: &Measured) -> Result<String, std::fmt::Error> {
     let mut text = format!(
         "# Distribution, measured\n\nMade by `cargo run --release -p spanspur-fleet-rig -- distribution PART` with PART \
-         `delay`, `cost`, `entries`, `cut`, `start` or `seeds`; each replaces its own part of `{FILE}`, from which this \
+         `delay`, `cost`, `entries`, `cut`, `start`, `seeds` or `sockets`; each replaces its own part of `{FILE}`, from which this \
          page is made. The last run was on {}.\n\n\
          How: {WHAT}. A row of the list has {VALUE} bytes. One thread plays all instances of a run, so a \
          datagram is taken at the moment it arrives, and what a loaded processor adds is not in the delays. The writer \
@@ -1189,6 +1211,7 @@
             s.wall
         )?;
     }
+    over_sockets(&mut text, results)?;
     if let Some(seeds) = &results.seeds {
         writeln!(
             text,
@@ -1212,3 +1235,77 @@
     }
     Ok(text)
 }
+
+/// The runs over sockets beside those in virtual time.
+fn over_sockets(text: &mut String, results: &Results) -> std::fmt::Result {
+    if results.sockets.is_empty() {
+        return Ok(());
+    }
+    *text += "\n## Over loopback sockets\n\nReal time, one run each: the program's own drivers on sockets of 127.0.0.0/8 in \
+         one process, 9 control instances on one thread and all followers on another; no delay or loss but the machine's. \
+         One control instance's board is published on without a claim or a duty, and confirms the list every 250 ms. \
+         Until full: from the start of everybody, the control instances with them and the list at one of them alone; in \
+         virtual time these had run for 30 s and held all. In force: from publishing until a balancer (each) or the last \
+         of them (everywhere) holds it; 10 changes a second apart; in virtual time from the change at discovery, with \
+         delays between regions and 1% loss. Lost: sent and not received, until full and later. At rest: 5 s after the changes by the drivers' counters, both ways; processor time is the \
+         thread's over its instances (of the control instances' the mean, their bytes and datagrams the busiest's), the \
+         kernel's part and the runtime's in it, by ticks of 10 ms. Virtual: the median of the runs above, their \
+         processor time within the instances' calls alone, that of the busiest control instance.\n\n\
+         | balancers | run | until full, ms | each: p50 / p99 / last, ms | everywhere: p50 / p99 / last, ms | missing | lost: until full / later, unsent | balancer: B/s | datagrams/s | us/s | kernel | control: kB/s | datagrams/s | us/s | kernel | s of ours |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n";
+    let part =
+        |kernel: Option<f64>| kernel.map_or("-".to_owned(), |k| format!("{:.0}%", k * 100.0));
+    for s in &results.sockets {
+        let full = s.until_full.map_or_else(
+            || format!("**{} of {}**", s.full, s.followers),
+            |ms| ms.to_string(),
+        );
+        writeln!(
+            text,
+            "| {} | sockets | {full} | {} | {} | {} | {} / {}, {} | {:.0} | {:.1} | {:.1} | {} | {:.1} | {:.0} | {:.0} | {} | {:.0} |",
+            s.followers,
+            of_ms(&s.each),
+            of_ms(&s.everywhere),
+            s.missing,
+            s.lost.0,
+            s.lost.1,
+            s.unsent,
+            s.follow.bytes,
+            s.follow.datagrams,
+            s.follow.cpu,
+            part(s.follow.kernel),
+            s.control.bytes / 1000.0,
+            s.control.datagrams,
+            s.control.cpu,
+            part(s.control.kernel),
+            s.wall
+        )?;
+        let costs = results.costs.iter();
+        let costs: Vec<&Cost> = costs.filter(|c| c.followers == s.followers).collect();
+        if costs.is_empty() {
+            continue;
+        }
+        let of = |value: fn(&Cost) -> f64| median(costs.iter().map(|c| value(c)).collect());
+        let mut delays = results.delays.iter();
+        let delay = delays.find(|d| d.followers == s.followers);
+        let mut starts = results.starts.iter();
+        let start = starts.find(|st| st.starting == s.followers && st.entries == s.entries);
+        let none = || "-".to_owned();
+        writeln!(
+            text,
+            "| {} | virtual | {} | {} | {} | {} | - | {:.0} | {:.1} | {:.1} | - | {:.1} | {:.0} | {:.0} | - | - |",
+            s.followers,
+            start.map_or_else(none, |st| st.until_full.last.to_string()),
+            delay.map_or_else(none, |d| of_ms(&d.each)),
+            delay.map_or_else(none, |d| of_ms(&d.everywhere)),
+            delay.map_or_else(none, |d| d.missing.to_string()),
+            of(|c| c.follow.bytes),
+            of(|c| c.follow.datagrams),
+            of(|c| c.follow.cpu),
+            of(|c| c.control.bytes / 1000.0),
+            of(|c| c.control.datagrams),
+            of(|c| c.control.cpu),
+        )?;
+    }
+    Ok(())
+}
--- a/crates/fleet-rig/src/distribution/mod.rs
+++ b/crates/fleet-rig/src/distribution/mod.rs
@@ -8,10 +8,12 @@
 //! | [`checker`] | what was written, what each follower holds, when changes came into force |
 //! | [`chaos`] | faults drawn from a seed, and the verdict after they are over |
 //! | [`measure`] | the sized runs: delay, costs, a region's cut, the start of everybody |
+//! | [`sockets`] | the same drivers over real loopback sockets in real time |
 
 pub mod chaos;
 pub mod checker;
 pub mod measure;
+pub mod sockets;
 pub mod world;
 
 pub use checker::{Checker, Wrong};
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -45,7 +45,7 @@
         #[arg(long, value_parser = |text: &str| u64::from_str_radix(text, 16))]
         watch: Option<u64>,
     },
-    /// The distribution from nine control instances to 2,100 balancers, in virtual time.
+    /// The distribution from nine control instances to 2,100 balancers, in virtual time or over sockets.
     Distribution {
         /// What to play.
         #[arg(value_enum, default_value_t = Distribution::All)]
@@ -92,7 +92,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Distribution {
-    /// Every part, one after another: about a quarter of an hour.
+    /// Every part of virtual time, one after another: about a quarter of an hour.
     All,
     /// Until changes are in force.
     Delay,
@@ -104,6 +104,8 @@
     Cut,
     /// The start of many at once.
     Start,
+    /// Over real loopback sockets in real time, about a minute and a half; not among `all`.
+    Sockets,
     /// Faults from seeds.
     Seeds,
     /// The page and the charts anew, from what is there.
@@ -186,6 +188,7 @@
                 Distribution::Entries => vec![Part::Entries],
                 Distribution::Cut => vec![Part::Cut],
                 Distribution::Start => vec![Part::Start],
+                Distribution::Sockets => vec![Part::Sockets],
                 Distribution::Seeds | Distribution::Page => vec![],
             };
             let mut played = sized.into_iter().map(|part| measure::run(&folder, part));
--- a/crates/fleet-rig/tests/distribution.rs
+++ b/crates/fleet-rig/tests/distribution.rs
@@ -3,7 +3,9 @@
 use spanspur_fleet_rig::distribution::Wrong;
 use spanspur_fleet_rig::distribution::chaos;
 use spanspur_fleet_rig::distribution::measure::{self, Dead};
+use spanspur_fleet_rig::distribution::sockets::{self, Play};
 use spanspur_fleet_rig::distribution::world::{CONTROLS, Fault, Plan, Planted, World, key};
+use std::time::Duration;
 
 /// Followers of the small runs: ten in each region.
 const FOLLOWERS: usize = 60;
@@ -205,3 +207,20 @@
         "grows with their number: {ratio}"
     );
 }
+
+#[test]
+fn over_sockets_all_become_full_and_a_change_is_in_force_at_all() {
+    let run = sockets::play(Play {
+        followers: 30,
+        entries: 150,
+        changes: 2,
+        rest: Duration::from_secs(1),
+    });
+    println!("{run:?}");
+    let run = run.expect("sockets on this machine, and threads that answer");
+    assert!(run.until_full.is_some(), "not all full in time");
+    assert_eq!((run.full, run.until_all.count), (30, 30), "not all full");
+    assert_eq!(run.missing, 0, "a change is not in force at all");
+    assert_eq!(run.everywhere.count, 2, "a change is not in force at all");
+    assert!(run.follow.datagrams > 0.0 && run.control.datagrams > 0.0);
+}
