Test when a balancer takes the list that its sources have brought

Need: ListNews::follow was held by the test of nine processes alone. Change: four tests of it without a socket: a list that is not whole, too old, behind what discovery has told, or names nobody is not taken; an old one is, where discovery has never answered.

--- a/src/net/duties/list.rs
+++ b/src/net/duties/list.rs
@@ -16,6 +16,9 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
+#[cfg(test)]
+mod tests;
+
 /// A head is told so often within the age that news may have.
 const HEADS: u64 = 4;
 /// Versions within one period of the duty.
