Damage datagrams and pace control instances by one piece of code in the rig

Change: world::damage and distribution::world::PACE, used by both. Seeds draw the same numbers as before.

--- a/crates/fleet-rig/src/distribution/sockets.rs
+++ b/crates/fleet-rig/src/distribution/sockets.rs
@@ -5,7 +5,7 @@
 //! a claim or a duty; it confirms the list as often as the duty's holder would.
 
 use super::measure::{Spread, spread};
-use super::world::{CONTROLS, VALUE, key, name, place};
+use super::world::{CONTROLS, PACE, VALUE, key, name, place};
 use crate::meter::thread_ns;
 use crate::ranking;
 use serde::{Deserialize, Serialize};
@@ -14,7 +14,7 @@
 use spanspur_cluster::node::Setup;
 use spanspur_distribution::{AskPace, Entry, FollowerSetup, Limits, SourceAt, SourceSetup};
 use spanspur_duties::DutyId;
-use spanspur_membership::{Identity, Key, Keys, Pace};
+use spanspur_membership::{Identity, Key, Keys};
 use std::cell::{Cell, RefCell};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, UdpSocket};
 use std::rc::Rc;
@@ -311,12 +311,7 @@
             seeds: cluster.iter().take(3).copied().collect(),
             voters: (0..CONTROLS).map(name).collect(),
             skew: 1000,
-            // As in virtual time.
-            pace: Pace {
-                probe: Duration::from_millis(1000),
-                answer: Duration::from_millis(400),
-                suspicion: Duration::from_millis(2000),
-            },
+            pace: PACE,
             ranking: ranking(),
             seed: i as u64,
         };
--- a/crates/fleet-rig/src/distribution/world.rs
+++ b/crates/fleet-rig/src/distribution/world.rs
@@ -7,6 +7,7 @@
 
 use super::checker::{Checker, is_removed};
 use crate::ranking;
+use crate::world::damage;
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use spanspur_cluster::node::{self, Node};
@@ -44,6 +45,12 @@
 /// Recorded datagrams to be sent again.
 const RECORDED: usize = 512;
 const START: Millis = 1_700_000_000_000;
+/// How fast the control instances look after each other: answers come from 120 ms away and back.
+pub(super) const PACE: Pace = Pace {
+    probe: Duration::from_millis(1000),
+    answer: Duration::from_millis(400),
+    suspicion: Duration::from_millis(2000),
+};
 const DUTY: &str = "list";
 const SECRET: &[u8] = b"a secret of the rig";
 /// Ports of the cluster's datagrams and of the distribution's.
@@ -1003,12 +1010,7 @@
                         seeds: (0..3).map(|i| address(i, CLUSTER)).collect(),
                         voters: (0..CONTROLS).map(name).collect(),
                         skew: 1000,
-                        // Answers come from 120 ms away and back.
-                        pace: Pace {
-                            probe: Duration::from_millis(1000),
-                            answer: Duration::from_millis(400),
-                            suspicion: Duration::from_millis(2000),
-                        },
+                        pace: PACE,
                         ranking: ranking(),
                         seed,
                     },
@@ -1145,15 +1147,7 @@
                 self.recorded[at].clone()
             }
         };
-        match self.random.random_range(0..3) {
-            // Cut off, damaged, or just sent again.
-            0 => bytes.truncate(self.random.random_range(0..=bytes.len())),
-            1 if !bytes.is_empty() => {
-                let at = self.random.random_range(0..bytes.len());
-                bytes[at] ^= 1 << self.random.random_range(0..8);
-            }
-            _ => {}
-        }
+        damage(&mut self.random, &mut bytes);
         if to >= CONTROLS {
             port = DISTRIBUTION;
         }
--- a/crates/fleet-rig/src/world.rs
+++ b/crates/fleet-rig/src/world.rs
@@ -144,6 +144,18 @@
         .into()
 }
 
+/// Cuts a datagram off, damages one bit of it, or leaves it as it is, to be sent again.
+pub(crate) fn damage(random: &mut ChaCha8Rng, bytes: &mut Vec<u8>) {
+    match random.random_range(0..3) {
+        0 => bytes.truncate(random.random_range(0..=bytes.len())),
+        1 if !bytes.is_empty() => {
+            let at = random.random_range(0..bytes.len());
+            bytes[at] ^= 1 << random.random_range(0..8);
+        }
+        _ => {}
+    }
+}
+
 /// The name of an instance.
 pub fn name(i: usize) -> String {
     format!("n{i}")
@@ -433,15 +445,7 @@
                 self.recorded[at].clone()
             }
         };
-        match self.random.random_range(0..3) {
-            // Cut off, damaged, or just sent again.
-            0 => bytes.truncate(self.random.random_range(0..=bytes.len())),
-            1 if !bytes.is_empty() => {
-                let at = self.random.random_range(0..bytes.len());
-                bytes[at] ^= 1 << self.random.random_range(0..8);
-            }
-            _ => {}
-        }
+        damage(&mut self.random, &mut bytes);
         let from = address(self.random.random_range(0..self.plan.instances));
         self.push(self.now, Event::Datagram(to, from, bytes));
     }
