Review case 2: a replaced process loses connections whose ids bad clients send

Ids in use are known per process. While a process is replaced, a bad client that sends the id of another client's open request is turned away by the old process and served by the new one. The new process then acknowledges the connection that the old one hands over under this id, and drops it.

Change: the case with its claim and its script; a stand-in for bad clients, and the platform that holds the listening socket. Nothing of the program is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod discovery;
 mod platform;
 mod record;
+mod replace;
 mod server;
 mod shutdown;
 mod util;
@@ -39,6 +40,7 @@
     }));
     let verdict = match name {
         "shutdown" => shutdown::play(&trouble),
+        "replace" => replace::play(&trouble),
         _ => Verdict::NotRun(format!("no case '{name}'")),
     };
     platform::end_all();
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -236,7 +236,6 @@
 }
 
 /// Makes a call on a second address; `true` for a 2xx. The caller waits 1 s.
-#[allow(dead_code)]
 pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> bool {
     let end = Instant::now() + Duration::from_secs(1);
     let Ok(mut stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) else {
