Review case 3: the holder of the duty list confirms a stale list to the others

The balancer that watches discovery for all sends confirmations for as long as it holds the lease, also while its own polls of discovery fail. The others, which could reach discovery, do not ask it.

Change: the case with its claim and its script, and a proxy that cuts one balancer off from discovery. Nothing of the program is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,7 +5,9 @@
 
 mod client;
 mod discovery;
+mod list;
 mod platform;
+mod proxy;
 mod record;
 mod replace;
 mod server;
@@ -40,6 +42,7 @@
     }));
     let verdict = match name {
         "shutdown" => shutdown::play(&trouble),
+        "list" => list::play(&trouble),
         "replace" => replace::play(&trouble),
         _ => Verdict::NotRun(format!("no case '{name}'")),
     };
