Review case 1: deadlines of 0.9 s, and more connections

With few connections the rounding of the schedule hides the fault: at least one connection moves every 20 ms.

Change: 0.9 and 0.7 s instead of 0.75 and 0.6 s, and 140 standing connections instead of 80.

--- a/review/standins/shutdown.rs
+++ b/review/standins/shutdown.rs
@@ -14,14 +14,14 @@
 use std::time::{Duration, Instant};
 
 /// The classes of the site, with shorter deadlines.
-const CLASSES: [Class; 2] = [("opwek-live", 0.5, 0.75), ("saldo-live", 0.3, 0.6)];
+const CLASSES: [Class; 2] = [("opwek-live", 0.5, 0.9), ("saldo-live", 0.3, 0.7)];
 /// The longest deadline of the settings.
-const LONGEST_DEADLINE: f64 = 0.75;
+const LONGEST_DEADLINE: f64 = 0.9;
 /// SIGKILL comes no earlier than the longest deadline and this long after SIGTERM.
 const KILL_AFTER_DEADLINE: f64 = 0.7;
 /// Slack of the platform, so that SIGKILL comes later rather than earlier.
 const KILL_SLACK: f64 = 0.1;
-const STANDING: usize = 80;
+const STANDING: usize = 140;
 const ARRIVALS_AFTER_SIGTERM: usize = 4;
 
 /// What became of one connection.
@@ -122,7 +122,7 @@
     };
     for n in 0..STANDING {
         arrive(format!("{n:02}"));
-        util::sleep(0.05);
+        util::sleep(0.03);
     }
     util::sleep(3.0);
     let up = seen
