Review case 3: a replacement under a crowd of bad clients loses connections

While a process is replaced under a crowd, the newer process takes more descriptors than the limit leaves. Where the platform enforces the limit, the hand-over breaks off, and the older process, which is shutting down, accepts clients again until it exits; those that it served last are cut off without MOVE.

The crowd and a limit on descriptors come to the stand-ins, the proxy goes.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,10 +4,9 @@
 //! 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod client;
+mod crowd;
 mod discovery;
-mod list;
 mod platform;
-mod proxy;
 mod record;
 mod replace;
 mod server;
@@ -42,7 +41,7 @@
     }));
     let verdict = match name {
         "shutdown" => shutdown::play(&trouble),
-        "list" => list::play(&trouble),
+        "crowd" => crowd::play(&trouble),
         "replace" => replace::play(&trouble),
         _ => Verdict::NotRun(format!("no case '{name}'")),
     };
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -43,13 +43,37 @@
     value.expect("the deploy file has the key").to_owned()
 }
 
+/// Starts the deploy file's `run` as [`start`] does, with a limit on the descriptors of the process.
+pub fn start_limited(
+    name: &str,
+    variables: &[(&str, String)],
+    accept: &TcpListener,
+    descriptors: usize,
+) -> Process {
+    launch(
+        name,
+        variables,
+        Some(accept),
+        &format!("ulimit -n {descriptors}; "),
+    )
+}
+
 /// Starts the deploy file's `run`. With `accept`, the process inherits the clients' listening socket as descriptor 4.
 pub fn start(name: &str, variables: &[(&str, String)], accept: Option<&TcpListener>) -> Process {
+    launch(name, variables, accept, "")
+}
+
+fn launch(
+    name: &str,
+    variables: &[(&str, String)],
+    accept: Option<&TcpListener>,
+    before: &str,
+) -> Process {
     let run = deploy_command("run");
     let log = folder().join(format!("log-{name}-{}", util::hex()));
     let mut command = Command::new("/bin/sh");
     let script = match accept {
-        Some(_) => format!("exec 4<&0 0</dev/null; {run}"),
+        Some(_) => format!("{before}exec 4<&0 0</dev/null; {run}"),
         None => run,
     };
     command.arg("-c").arg(script);
@@ -106,6 +130,11 @@
         send_signal(signal, self.pid);
     }
 
+    /// The number of descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.pid)).map_or(0, Iterator::count)
+    }
+
     /// How the process ended, if it has.
     pub fn ended(&self) -> Option<String> {
         self.running.lock().expect("not poisoned").check()
@@ -201,6 +230,13 @@
     path
 }
 
+/// Changes `limits.sockets` of a configuration file.
+pub fn set_descriptors(config: &Path, descriptors: usize) {
+    let text = fs::read_to_string(config).expect("a configuration file");
+    let text = text.replace(r#""sockets":1024"#, &format!(r#""sockets":{descriptors}"#));
+    fs::write(config, text).expect("a configuration file");
+}
+
 /// The variables of a balancer's environment, with a private `$TMPDIR`.
 pub fn variables(
     name: &str,
