--- a/review/play.sh
+++ b/review/play.sh
@@ -4,6 +4,8 @@
 set -u
 name=$1 folder=$(cd "$2" && pwd) || exit 2
 cd "$(dirname "$0")/.." || exit 2
+# Clients and stream servers are all in one process.
+ulimit -S -n "$(ulimit -H -n)" 2>/dev/null
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP
 finish() {
--- a/review/standins/crowd.rs
+++ b/review/standins/crowd.rs
@@ -29,8 +29,8 @@
 const STANDING: usize = 40;
 const SHORT_LIVED: usize = 30;
 /// "By the hundreds."
-const CROWD: usize = 900;
-const REPLACEMENTS: usize = 4;
+const CROWD: usize = 500;
+const REPLACEMENTS: usize = 6;
 
 #[derive(Default)]
 struct Counts {
