Review: note a process's id even where descriptors run out

Cause: a stand-in that ran out of descriptors between starting a process and noting its id left that process running. Change: the file of ids is opened before the process is started.

--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -105,13 +105,13 @@
     command
         .stdout(file.try_clone().expect("a descriptor"))
         .stderr(file);
-    let child = command.spawn().expect("/bin/sh");
-    let pid = child.id();
     let mut pids = fs::OpenOptions::new()
         .create(true)
         .append(true)
         .open(folder().join("pids"))
         .expect("pids");
+    let child = command.spawn().expect("/bin/sh");
+    let pid = child.id();
     let _ = writeln!(pids, "{pid}");
     record::line(format!("platform: started {name}, process {pid}"));
     let running = Arc::new(Mutex::new(Running {
