Migrate every connection before the exit also where clients wait under a second

Cause: the migrations took a fixed 0.45 + 1.0 s, while the exit was computed from the longest wait (1.35 s here). Nothing compared the two, nothing migrated the rest at the exit, and a connection told to migrate in the last tick had no time to send MOVE. Change: ShutdownSchedule owns all times of a shutdown and derives them from the longest wait, in order. From the final responses on, whatever is still here is ended at each tick, and the process waits for these clients within the schedule.

--- a/src/lifecycle/migration.rs
+++ b/src/lifecycle/migration.rs
@@ -28,18 +28,37 @@
         }
     }
 
-    /// Migrates the connections that are due; to be called every [`MIGRATION_INTERVAL`]. Returns the number of
-    /// established connections that are still to be migrated.
-    pub fn migrate_due(&mut self) -> usize {
-        let mut remaining = self.runtime.established_requests();
-        remaining.retain(|id| !self.migrated.contains(id));
-        let count = remaining.len();
+    /// Migrates the connections that are due; to be called every [`MIGRATION_INTERVAL`].
+    pub fn migrate_due(&mut self) {
+        let remaining = self.not_migrated();
         let interval = MIGRATION_INTERVAL.as_secs_f64();
-        let due = self.schedule.due(self.runtime.now(), interval, count);
-        for id in remaining.into_iter().take(due) {
-            self.migrated.insert(id);
-            self.runtime.send_command(id, Command::Migrate);
+        let due = self
+            .schedule
+            .due(self.runtime.now(), interval, remaining.len());
+        self.migrate(&remaining[..due]);
+    }
+
+    /// Migrates all connections that are established now, whatever the schedule.
+    pub fn migrate_all(&mut self) {
+        let remaining = self.not_migrated();
+        self.migrate(&remaining);
+    }
+
+    /// The number of established connections that have not been told to migrate.
+    pub fn remaining(&self) -> usize {
+        self.not_migrated().len()
+    }
+
+    fn not_migrated(&self) -> Vec<RequestId> {
+        let mut established = self.runtime.established_requests();
+        established.retain(|id| !self.migrated.contains(id));
+        established
+    }
+
+    fn migrate(&mut self, connections: &[RequestId]) {
+        for id in connections {
+            self.migrated.insert(*id);
+            self.runtime.send_command(*id, Command::Migrate);
         }
-        count - due
     }
 }
--- a/src/lifecycle/mod.rs
+++ b/src/lifecycle/mod.rs
@@ -9,6 +9,7 @@
 pub mod migration;
 pub mod operator_file;
 pub mod reload;
+pub mod shutdown_schedule;
 pub mod signals;
 pub mod sockets;
 pub mod startup;
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod peers;
 mod replace;
 mod service;
+mod shutdown;
 mod watch;
 use peers::*;
 use std::net::Shutdown;
