Test that a connection which the successor refuses is migrated before the exit

A connection was offered to the successor once; if the successor refused it, nothing migrated it, and its client was cut off without MOVE at the exit. Change: a scripted successor refuses a connection; its client must get MOVE, and the process must exit with 0.

--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod peers;
 mod replace;
+mod scripted_successor;
 mod service;
 mod shutdown;
 mod watch;
--- a/tests/sockets/replace.rs
+++ b/tests/sockets/replace.rs
@@ -1,10 +1,12 @@
 //! Hot restart: two processes of one balancer that inherit the same listening socket.
 
 use crate::peers::*;
+use crate::scripted_successor::{ScriptedSuccessor, connection_number};
 use spanspur_hot_restart::frame::{Frame, VERSION, encode};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -64,10 +66,15 @@
         new
     }
 
+    /// The socket on which the newest process listens for its successor.
+    fn hot_restart_socket(&self) -> PathBuf {
+        self.folder.path.join("spanspur-n0.sock")
+    }
+
     /// Connects to the hot restart socket in the role of a successor and sends these frames.
     fn connect_as_successor(&self, frames: &[Frame]) -> UnixStream {
-        let mut stream = UnixStream::connect(self.folder.path.join("spanspur-n0.sock"))
-            .expect("the process listens");
+        let mut stream =
+            UnixStream::connect(self.hot_restart_socket()).expect("the process listens");
         for frame in frames {
             stream
                 .write_all(&encode(frame, 0).expect("small"))
@@ -228,6 +235,27 @@
     assert_eq!(process.wait_for_exit(), Some(0));
 }
 
+/// Guards against connections that are cut off without MOVE because the successor does not take them over.
+#[test]
+fn a_connection_that_the_successor_refuses_is_migrated_before_the_exit() {
+    let backend = echo_backend("s-1");
+    let deployment = Deployment::new(&[&backend]);
+    let process = deployment.start();
+    let mut client = process.open(0x51, 2000);
+    assert_eq!(client.read_line(), "UP r1\r\n");
+    let mut successor = ScriptedSuccessor::connect(&deployment.hot_restart_socket());
+    successor.send(&Frame::Hello { version: VERSION });
+    successor.send(&Frame::Ready);
+    wait_until(|| process.admin_request("/_ready", "").0 == 503);
+    process.signal("-TERM");
+    let number = successor.receive(connection_number);
+    let taken_over = false;
+    successor.send(&Frame::Acknowledge { number, taken_over });
+    assert_migrated_after_echo(&mut client);
+    drop(client);
+    assert_eq!(process.wait_for_exit(), Some(0));
+}
+
 /// Asserts that the client is migrated. Until then the old process serves it, so a line may still be echoed.
 fn assert_migrated_after_echo(client: &mut Peer) {
     client.send("M 1\r\n");
