Claim request ids at the other process while two processes serve clients

Cause: ids in use were known per process, and a transferred connection was acknowledged before its id was looked up, then dropped. Change: each process claims an id at the other before it registers a request (hot restart protocol 3; a link with a build of version 2 carries no claims, and an older predecessor is asked again in its version). A transferred connection is registered before it is acknowledged; if its id is in use, it is refused, and the predecessor migrates it. The tests of frames now name version 2 for the fixtures written by earlier builds, which are unchanged; three fixtures and the range of versions are new checks.

--- a/crates/hot-restart/src/frame.rs
+++ b/crates/hot-restart/src/frame.rs
@@ -7,9 +7,13 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// Protocol version. Processes with different versions transfer no state or connections: the older one serves until it
-/// exits.
-pub const VERSION: u32 = 2;
+/// Newest protocol version that this build speaks. Version 3 added [`Frame::ClaimRequestId`] and its answer.
+pub const VERSION: u32 = 3;
+/// Oldest protocol version that this build speaks. Processes without a common version transfer no state or connections:
+/// the older one serves until it exits.
+pub const MIN_VERSION: u32 = 2;
+/// The first version whose processes claim request ids.
+pub const REQUEST_ID_VERSION: u32 = 3;
 /// Limit on the body of a frame, in bytes. Fits an endpoint list of about ten thousand servers.
 pub const MAX_FRAME: usize = 1024 * 1024;
 /// Limit on the descriptors sent with a frame: one for the client and one for its backend.
@@ -22,12 +26,12 @@
 pub enum Frame {
     /// The successor's first message.
     Hello {
-        /// The successor's [`VERSION`].
+        /// The version that the successor asks for.
         version: u32,
     },
     /// The predecessor's response to [`Frame::Hello`].
     State {
-        /// The predecessor's [`VERSION`].
+        /// The version that the successor asked for, or the predecessor's [`VERSION`] if it does not speak that one.
         version: u32,
         /// Snapshot of the predecessor's state, in an encoding defined by the balancer; empty if the versions differ.
         snapshot: Vec<u8>,
@@ -56,6 +60,20 @@
         /// Whether the connection was taken over.
         taken_over: bool,
     },
+    /// Asks whether the sender may serve a request with this id. Only sent since [`REQUEST_ID_VERSION`].
+    ClaimRequestId {
+        /// Number that the sender assigned to the claim.
+        number: u64,
+        /// The request id.
+        id: u64,
+    },
+    /// The answer to [`Frame::ClaimRequestId`].
+    RequestIdDecision {
+        /// The number of the claim.
+        number: u64,
+        /// Whether the id is granted; if not, it is in use in the answering process.
+        granted: bool,
+    },
 }
 
 /// A frame decoded from the start of a buffer.
--- a/crates/hot-restart/tests/frame_bytes.rs
+++ b/crates/hot-restart/tests/frame_bytes.rs
@@ -1,13 +1,18 @@
 //! Encoding of each hot restart frame. Processes of different builds must understand each other.
 //!
-//! The fixtures `tests/fixtures/hot_restart/frame_*.bin` in the repository root were written at commit 71566bd.
+//! The fixtures `tests/fixtures/hot_restart/frame_*.bin` in the repository root were written at commit 71566bd, those of the claims
+//! of request ids in issue 47.
 //! `WRITE_FIXTURES=1` rewrites them, which hides a change of the wire format.
 
 use spanspur_hot_restart::frame::{
-    DecodedFrame, Frame, MAX_DESCRIPTORS, MAX_FRAME, VERSION, decode, encode,
+    DecodedFrame, Frame, MAX_DESCRIPTORS, MAX_FRAME, MIN_VERSION, REQUEST_ID_VERSION, VERSION,
+    decode, encode,
 };
 use std::path::Path;
 
+/// The protocol version of the builds that the fixtures of `Hello` and `State` were written by.
+const FIXTURE_VERSION: u32 = 2;
+
 /// Returns the bytes of a fixture. With `WRITE_FIXTURES=1`, writes `encoded` to the fixture first.
 fn load_or_write(name: &str, encoded: &[u8]) -> Vec<u8> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR"))
@@ -23,12 +28,18 @@
 fn frames() -> Vec<(&'static str, Frame, usize)> {
     let payload: Vec<u8> = (0..=255).chain(0..=99).collect();
     vec![
-        ("hello", Frame::Hello { version: VERSION }, 0),
+        (
+            "hello",
+            Frame::Hello {
+                version: FIXTURE_VERSION,
+            },
+            0,
+        ),
         ("hello_far", Frame::Hello { version: u32::MAX }, 0),
         (
             "state",
             Frame::State {
-                version: VERSION,
+                version: FIXTURE_VERSION,
                 snapshot: payload.clone(),
             },
             0,
@@ -36,7 +47,7 @@
         (
             "state_empty",
             Frame::State {
-                version: VERSION,
+                version: FIXTURE_VERSION,
                 snapshot: Vec::new(),
             },
             0,
@@ -83,6 +94,30 @@
             },
             0,
         ),
+        (
+            "claim_request_id",
+            Frame::ClaimRequestId {
+                number: 300,
+                id: 0x0123_4567_89ab_cdef,
+            },
+            0,
+        ),
+        (
+            "request_id_granted",
+            Frame::RequestIdDecision {
+                number: 300,
+                granted: true,
+            },
+            0,
+        ),
+        (
+            "request_id_denied",
+            Frame::RequestIdDecision {
+                number: u64::MAX,
+                granted: false,
+            },
+            0,
+        ),
     ]
 }
 
@@ -103,5 +138,6 @@
 
 #[test]
 fn version_and_limits_match_other_builds() {
-    assert_eq!((VERSION, MAX_FRAME, MAX_DESCRIPTORS), (2, 1 << 20, 2));
+    assert_eq!((MAX_FRAME, MAX_DESCRIPTORS), (1 << 20, 2));
+    assert_eq!((MIN_VERSION, REQUEST_ID_VERSION, VERSION), (2, 3, 3));
 }
--- a/src/lifecycle/hot_restart/peer.rs
+++ b/src/lifecycle/hot_restart/peer.rs
@@ -1,9 +1,11 @@
 //! The part of the protocol that is the same in both processes of a hot restart: sending updates and reporting how many
 //! descriptors the clients of each process hold.
 
+use crate::api::RequestId;
 use crate::discovery::endpoint_list::EndpointList;
 use crate::invariants;
 use crate::runtime::Runtime;
+use crate::transfer::RequestIdClaims;
 use spanspur_admin::maintenance::MaintenanceSet;
 use spanspur_hot_restart::frame::Frame;
 use spanspur_hot_restart::link::Sender;
@@ -16,15 +18,18 @@
 pub const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
 /// Capacity of the queue of updates to the other process, in frames.
 pub const MAX_QUEUED_UPDATES: usize = 256;
+/// Capacity of the queue of claims of request ids and their decisions, in frames.
+pub const MAX_QUEUED_REQUEST_IDS: usize = 256;
 /// Interval at which the number of descriptors held by clients is reported, if it has changed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// Descriptors that a process holds apart from its clients': standard streams, event loop, listeners, discovery, admin.
 const OWN_DESCRIPTORS: usize = 20;
 
-/// Sends updates and the number of descriptors that clients hold in this process, until the link fails or the sender of
-/// `updates` is dropped.
+/// Sends claims of request ids, updates and the number of descriptors that clients hold in this process, until the link
+/// fails or the sender of `updates` is dropped.
 pub async fn send_updates(
     sender: &Sender,
+    mut request_ids: mpsc::Receiver<Frame>,
     mut updates: mpsc::Receiver<Frame>,
     held_descriptors: impl Fn() -> usize,
 ) {
@@ -36,6 +41,7 @@
         };
         let frame = tokio::select! {
             biased;
+            Some(request_id) = request_ids.recv() => Some(request_id),
             update = updates.recv() => update,
             () = sleep(pause) => Some(Frame::HeldDescriptors(held_descriptors() as u32)),
         };
@@ -51,9 +57,16 @@
     }
 }
 
-/// Applies an update from the other process.
-pub fn apply_update(runtime: &Rc<Runtime>, update: Frame) {
+/// Applies an update or answers a claim from the other process.
+pub fn apply_update(runtime: &Rc<Runtime>, request_ids: &RequestIdClaims, update: Frame) {
     match update {
+        Frame::ClaimRequestId { number, id } => {
+            let id = RequestId(id);
+            request_ids.answer(number, id, runtime.serves_request(id));
+        }
+        Frame::RequestIdDecision { number, granted } => {
+            request_ids.handle_decision(number, granted);
+        }
         Frame::HeldDescriptors(held) => {
             let descriptors = held as usize + OWN_DESCRIPTORS;
             runtime.peer_processes.set_descriptors(descriptors);
--- a/src/lifecycle/hot_restart/predecessor.rs
+++ b/src/lifecycle/hot_restart/predecessor.rs
@@ -1,12 +1,15 @@
 //! The older process: listens for successors and sends them its state, updates and connections.
 
 use super::HotRestart;
-use super::peer::{HELLO_TIMEOUT, MAX_QUEUED_UPDATES, apply_update, send_updates};
+use super::peer::{
+    HELLO_TIMEOUT, MAX_QUEUED_REQUEST_IDS, MAX_QUEUED_UPDATES, apply_update, send_updates,
+};
 use crate::invariants;
-use crate::transfer::ConnectionSender;
-use spanspur_hot_restart::frame::{Frame, VERSION};
+use crate::transfer::{ConnectionSender, RequestIdClaims};
+use spanspur_hot_restart::frame::{Frame, MIN_VERSION, REQUEST_ID_VERSION, VERSION};
 use spanspur_hot_restart::link::{ReceivedFrame, Receiver, link};
 use spanspur_hot_restart::predecessor::{Input, SuccessorId};
+use spanspur_hot_restart::request_ids::Role;
 use std::fs::{self, Permissions};
 use std::io;
 use std::os::unix::fs::PermissionsExt;
@@ -25,6 +28,15 @@
 /// Permissions of the socket. Whoever connects receives the clients, so only the owner's processes may.
 const SOCKET_MODE: u32 = 0o600;
 
+/// A connected successor.
+struct Successor {
+    id: SuccessorId,
+    /// The protocol version of the link.
+    version: u32,
+    transfers: Rc<ConnectionSender>,
+    request_ids: Rc<RequestIdClaims>,
+}
+
 impl HotRestart {
     /// Starts listening for successors.
     pub(super) fn listen_for_successors(self: &Rc<Self>) {
@@ -70,53 +82,71 @@
         let Some(version) = receive_hello(&mut receiver).await else {
             return invariants::count("successor without hello");
         };
+        let is_supported = (MIN_VERSION..=VERSION).contains(&version);
         let (queue, updates) = mpsc::channel(MAX_QUEUED_UPDATES);
-        let state = Frame::State {
-            version: VERSION,
-            snapshot: self.snapshot_for(version),
+        let state = match is_supported {
+            true => self.state(version),
+            false => refusal(),
         };
-        self.runtime.peer_processes.add(queue);
-        if sender.send(&state, &[]).await.is_err() || version != VERSION {
+        if is_supported {
+            self.runtime.peer_processes.add(queue);
+        }
+        if sender.send(&state, &[]).await.is_err() || !is_supported {
             return tracing::warn!(
                 version,
-                expected = VERSION,
-                "successor not served: protocol versions differ or the link failed"
+                oldest = MIN_VERSION,
+                newest = VERSION,
+                "successor not served: no common protocol version, or the link failed"
             );
         }
+        let (claims, claim_frames) = mpsc::channel(MAX_QUEUED_REQUEST_IDS);
+        let request_ids = RequestIdClaims::new(Role::Predecessor, claims);
         let transfers = ConnectionSender::new(sender);
         self.successors.borrow_mut().insert(id, transfers.clone());
         let held_descriptors = || {
             let held = self.runtime.connection_limit.held();
             held.saturating_sub(transfers.descriptors_in_transit())
         };
+        let peer = Successor {
+            id,
+            version,
+            transfers: transfers.clone(),
+            request_ids: request_ids.clone(),
+        };
         tokio::select! {
-            () = self.receive(id, &transfers, receiver) => {}
-            () = send_updates(transfers.link(), updates, held_descriptors) => {}
+            () = self.receive(&peer, receiver) => {}
+            () = send_updates(transfers.link(), claim_frames, updates, held_descriptors) => {}
         }
+        self.runtime.peer_processes.remove_request_ids(&request_ids);
         self.remove_successor(id, &transfers);
     }
 
-    /// Returns the encoded snapshot for a successor of this version. It is empty if the versions differ, which a
-    /// successor of any version must take as a refusal.
-    fn snapshot_for(&self, version: u32) -> Vec<u8> {
-        match version {
-            VERSION => postcard::to_stdvec(&self.runtime.snapshot()).unwrap_or_default(),
-            _ => Vec::new(),
-        }
+    fn state(&self, version: u32) -> Frame {
+        let snapshot = postcard::to_stdvec(&self.runtime.snapshot()).unwrap_or_default();
+        Frame::State { version, snapshot }
     }
 
-    async fn receive(&self, id: SuccessorId, transfers: &ConnectionSender, mut receiver: Receiver) {
+    async fn receive(&self, successor: &Successor, mut receiver: Receiver) {
         while let Ok(Some(ReceivedFrame { frame, .. })) = receiver.next().await {
             match frame {
-                Frame::Ready => self.handle(Input::SuccessorReady(id)),
+                Frame::Ready => self.successor_ready(successor),
                 Frame::Acknowledge { number, taken_over } => {
-                    transfers.acknowledge(number, taken_over);
+                    successor.transfers.acknowledge(number, taken_over);
                 }
-                update => apply_update(&self.runtime, update),
+                update => apply_update(&self.runtime, &successor.request_ids, update),
             }
         }
     }
 
+    /// From now on the successor serves clients beside this process.
+    fn successor_ready(&self, successor: &Successor) {
+        if successor.version >= REQUEST_ID_VERSION {
+            let request_ids = successor.request_ids.clone();
+            self.runtime.peer_processes.add_request_ids(request_ids);
+        }
+        self.handle(Input::SuccessorReady(successor.id));
+    }
+
     fn remove_successor(&self, id: SuccessorId, transfers: &ConnectionSender) {
         transfers.close();
         self.successors.borrow_mut().remove(&id);
@@ -128,6 +158,14 @@
     }
 }
 
+/// Returns the response to a successor of another version. The empty snapshot is a refusal in any version.
+fn refusal() -> Frame {
+    Frame::State {
+        version: VERSION,
+        snapshot: Vec::new(),
+    }
+}
+
 /// Returns the version of the successor, or `None` if its first frame is late or not [`Frame::Hello`].
 async fn receive_hello(receiver: &mut Receiver) -> Option<u32> {
     let received = timeout(HELLO_TIMEOUT, receiver.next()).await;
--- a/src/lifecycle/hot_restart/successor.rs
+++ b/src/lifecycle/hot_restart/successor.rs
@@ -1,14 +1,17 @@
 //! The newer process: connects to its predecessor, restores its state, and takes over its connections.
 
-use super::peer::{HELLO_TIMEOUT, MAX_QUEUED_UPDATES, apply_update, send_updates};
+use super::peer::{
+    HELLO_TIMEOUT, MAX_QUEUED_REQUEST_IDS, MAX_QUEUED_UPDATES, apply_update, send_updates,
+};
 use crate::invariants;
 use crate::proxy::client::{serve, serve_transferred};
 use crate::proxy::client_reader::ClientReader;
 use crate::runtime::{Runtime, duration};
-use crate::transfer::{EstablishedConnection, Snapshot, TransferredConnection};
+use crate::transfer::{EstablishedConnection, RequestIdClaims, Snapshot, TransferredConnection};
 use spanspur_admin::maintenance::MaintenanceSet;
-use spanspur_hot_restart::frame::{Frame, VERSION};
+use spanspur_hot_restart::frame::{Frame, MIN_VERSION, REQUEST_ID_VERSION, VERSION};
 use spanspur_hot_restart::link::{LinkError, ReceivedFrame, Receiver, Sender, link};
+use spanspur_hot_restart::request_ids::Role;
 use std::io;
 use std::os::fd::OwnedFd;
 use std::path::Path;
@@ -37,8 +40,8 @@
     /// The first frame is not [`Frame::State`].
     #[error("expected the state, received another frame")]
     UnexpectedFrame,
-    /// The predecessor uses another protocol version.
-    #[error("protocol version {theirs}, expected {VERSION}")]
+    /// The predecessor does not speak the protocol version that it was asked for.
+    #[error("protocol version {theirs}, expected {MIN_VERSION} to {VERSION}")]
     OtherVersion {
         /// The predecessor's version.
         theirs: u32,
@@ -53,6 +56,9 @@
     sender: Sender,
     receiver: Receiver,
     updates: mpsc::Receiver<Frame>,
+    request_ids: Rc<RequestIdClaims>,
+    /// Claims of request ids and decisions, to be sent.
+    claim_frames: mpsc::Receiver<Frame>,
     /// Revision from which to watch discovery: that of the restored endpoint list, or `None` if the predecessor used
     /// another discovery address.
     pub revision: Option<u64>,
@@ -61,9 +67,7 @@
 /// Connects to the older process, if one is running, and restores its state.
 pub async fn connect(runtime: &Rc<Runtime>, socket_path: &Path) -> Option<PredecessorLink> {
     match request_state(socket_path).await {
-        Ok((sender, receiver, snapshot)) => {
-            Some(restore_state(runtime, snapshot, sender, receiver))
-        }
+        Ok(predecessor) => Some(restore_state(runtime, predecessor)),
         Err(error @ PredecessorError::NotRunning(_)) => {
             tracing::info!(%error, "no predecessor is running");
             None
@@ -75,34 +79,65 @@
     }
 }
 
-async fn request_state(
+/// The predecessor's response.
+struct Predecessor {
+    sender: Sender,
+    receiver: Receiver,
+    /// The protocol version of the link.
+    version: u32,
+    snapshot: Snapshot,
+}
+
+/// Requests the state in the newest protocol version, and if the predecessor is an older build, in its version.
+async fn request_state(socket_path: &Path) -> Result<Predecessor, PredecessorError> {
+    match request_state_in(socket_path, VERSION).await {
+        Err(PredecessorError::OtherVersion { theirs })
+            if (MIN_VERSION..VERSION).contains(&theirs) =>
+        {
+            request_state_in(socket_path, theirs).await
+        }
+        result => result,
+    }
+}
+
+async fn request_state_in(
     socket_path: &Path,
-) -> Result<(Sender, Receiver, Snapshot), PredecessorError> {
+    version: u32,
+) -> Result<Predecessor, PredecessorError> {
     let stream = UnixStream::connect(socket_path).await;
     let (sender, mut receiver) = link(stream.map_err(PredecessorError::NotRunning)?);
     let response = async {
-        sender.send(&Frame::Hello { version: VERSION }, &[]).await?;
+        sender.send(&Frame::Hello { version }, &[]).await?;
         receiver.next().await
     };
     let response = timeout(HELLO_TIMEOUT, response).await;
     let response = response.map_err(|_| PredecessorError::TimedOut)??;
     match response.ok_or(PredecessorError::Closed)?.frame {
         Frame::State {
-            version: VERSION,
+            version: theirs,
             snapshot,
-        } => Ok((sender, receiver, postcard::from_bytes(&snapshot)?)),
-        Frame::State { version, .. } => Err(PredecessorError::OtherVersion { theirs: version }),
+        } if theirs == version => Ok(Predecessor {
+            sender,
+            receiver,
+            version,
+            snapshot: postcard::from_bytes(&snapshot)?,
+        }),
+        Frame::State {
+            version: theirs, ..
+        } => Err(PredecessorError::OtherVersion { theirs }),
         _ => Err(PredecessorError::UnexpectedFrame),
     }
 }
 
-fn restore_state(
-    runtime: &Rc<Runtime>,
-    snapshot: Snapshot,
-    sender: Sender,
-    receiver: Receiver,
-) -> PredecessorLink {
+fn restore_state(runtime: &Rc<Runtime>, predecessor: Predecessor) -> PredecessorLink {
+    let Predecessor {
+        sender,
+        receiver,
+        version,
+        snapshot,
+    } = predecessor;
     tracing::info!(
+        version,
         revision = snapshot.revision,
         endpoints = snapshot.endpoints.len(),
         draining = snapshot.draining,
@@ -117,11 +152,19 @@
     let revision = same_discovery.then_some(snapshot.revision);
     let (queue, updates) = mpsc::channel(MAX_QUEUED_UPDATES);
     runtime.peer_processes.add(queue);
+    let (claims, claim_frames) = mpsc::channel(MAX_QUEUED_REQUEST_IDS);
+    let request_ids = RequestIdClaims::new(Role::Successor, claims);
+    if version >= REQUEST_ID_VERSION {
+        let request_ids = request_ids.clone();
+        runtime.peer_processes.add_request_ids(request_ids);
+    }
     runtime.restore(snapshot);
     PredecessorLink {
         sender,
         receiver,
         updates,
+        request_ids,
+        claim_frames,
         revision,
     }
 }
@@ -140,13 +183,16 @@
             sender,
             receiver,
             updates,
+            request_ids,
+            claim_frames,
             ..
         } = self;
         let held_descriptors = || runtime.connection_limit.held();
         tokio::select! {
-            () = receive(&runtime, &sender, receiver) => {}
-            () = send_updates(&sender, updates, held_descriptors) => {}
+            () = receive(&runtime, &sender, &request_ids, receiver) => {}
+            () = send_updates(&sender, claim_frames, updates, held_descriptors) => {}
         }
+        runtime.peer_processes.remove_request_ids(&request_ids);
         runtime.peer_processes.set_descriptors(0);
         tracing::info!(
             established = runtime.established_requests().len(),
@@ -156,10 +202,15 @@
 }
 
 /// Takes over connections and applies updates until the link closes.
-async fn receive(runtime: &Rc<Runtime>, sender: &Sender, mut receiver: Receiver) {
+async fn receive(
+    runtime: &Rc<Runtime>,
+    sender: &Sender,
+    request_ids: &RequestIdClaims,
+    mut receiver: Receiver,
+) {
     while let Ok(Some(ReceivedFrame { frame, descriptors })) = receiver.next().await {
         let Frame::Connection { number, payload } = frame else {
-            apply_update(runtime, frame);
+            apply_update(runtime, request_ids, frame);
             continue;
         };
         let taken_over = take_over(runtime, &payload, descriptors);
@@ -181,8 +232,8 @@
     let taken_over = match postcard::from_bytes(payload) {
         Ok(TransferredConnection::Established(connection)) => {
             let streams = streams.next().zip(streams.next());
-            streams.map(|(client, backend)| {
-                serve_established(runtime, connection, client, backend);
+            streams.and_then(|(client, backend)| {
+                serve_established(runtime, connection, client, backend)
             })
         }
         Ok(TransferredConnection::AwaitingRequest(received, time_left)) => {
@@ -200,15 +251,26 @@
     taken_over.is_some()
 }
 
+/// Serves an established connection, unless its request id is in use here: the predecessor then keeps and migrates it.
 fn serve_established(
     runtime: &Rc<Runtime>,
     connection: EstablishedConnection,
     client: TcpStream,
     backend: TcpStream,
-) {
+) -> Option<()> {
+    let (registration, commands) = runtime.register_request(connection.request.id)?;
     let permit = runtime.connection_limit.admit_in_service();
-    let serve = serve_transferred(runtime.clone(), connection, client, backend, permit);
+    let serve = serve_transferred(
+        runtime.clone(),
+        connection,
+        client,
+        backend,
+        permit,
+        registration,
+        commands,
+    );
     drop(spawn_local(serve));
+    Some(())
 }
 
 fn serve_awaiting_request(
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -7,12 +7,13 @@
 use crate::proxy::local_response::{LocalResponse, reject_for_descriptors};
 use crate::proxy::relay::{relay, resume};
 use crate::proxy::request::{OpenedConnection, RequestEnd, open};
-use crate::runtime::Runtime;
 use crate::runtime::connection_limit::ConnectionPermit;
+use crate::runtime::{Command, RequestRegistration, Runtime};
 use crate::transfer::{ConnectionSender, EstablishedConnection, TransferredConnection};
 use std::os::fd::AsFd;
 use std::rc::Rc;
 use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
 
 /// Result of waiting for a client's first line.
 enum Received {
@@ -119,19 +120,17 @@
     LocalResponse::Rejected { retry_after: 0 }
 }
 
-/// Serves an established connection transferred from another process of this balancer.
+/// Serves an established connection transferred from another process of this balancer, whose request is registered.
 pub async fn serve_transferred(
     runtime: Rc<Runtime>,
     connection: EstablishedConnection,
     client: TcpStream,
     backend: TcpStream,
     permit: ConnectionPermit,
+    registration: RequestRegistration,
+    commands: UnboundedReceiver<Command>,
 ) {
     let (request, server) = (connection.request, connection.server);
-    let Some((registration, commands)) = runtime.register_request(request.id) else {
-        invariants::count("transferred connection is here already");
-        return;
-    };
     runtime.handle_event(Event::AlreadyEstablished { request, server });
     runtime.mark_established(request.id);
     resume(runtime, connection, client, backend, commands).await;
--- a/src/proxy/client_reader.rs
+++ b/src/proxy/client_reader.rs
@@ -34,7 +34,7 @@
     /// The line does not follow the protocol.
     #[error(transparent)]
     InvalidLine(#[from] OpenRequestError),
-    /// Another request of this process has the same id.
+    /// Another request of this balancer has the same id.
     #[error("the request id is in use")]
     IdInUse,
     /// The client sent more bytes while the request was waiting for its response.
--- a/src/proxy/request.rs
+++ b/src/proxy/request.rs
@@ -53,7 +53,8 @@
 ) -> Result<OpenedConnection, RequestEnd> {
     open_request.request.deadline = deadline(runtime, &open_request);
     let request = open_request.request;
-    let Some((registration, mut commands)) = runtime.register_request(request.id) else {
+    let registered = runtime.claim_and_register_request(request.id).await;
+    let Some((registration, mut commands)) = registered else {
         return Err(malformed(MalformedRequest::IdInUse));
     };
     let (server, attempt, backend) = match open_request.established_server {
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -187,7 +187,7 @@
         list_settled && !self.endpoints.borrow().is_empty()
     }
 
-    /// Registers a request. Returns `None` if its id is in use.
+    /// Registers a request transferred from another process of this balancer. Returns `None` if its id is in use here.
     pub fn register_request(
         &self,
         id: RequestId,
@@ -195,6 +195,25 @@
         self.requests.register(id)
     }
 
+    /// Registers a request of a client of this process. Returns `None` if its id is in use in this process or another one
+    /// of this balancer.
+    pub async fn claim_and_register_request(
+        &self,
+        id: RequestId,
+    ) -> Option<(RequestRegistration, mpsc::UnboundedReceiver<Command>)> {
+        if !self.peer_processes.shares_request_ids() || self.requests.contains(id) {
+            return self.requests.register(id);
+        }
+        // Boxed: the branch is rarely taken.
+        let _claimed = Box::pin(self.peer_processes.claim_request_id(id)).await?;
+        self.requests.register(id)
+    }
+
+    /// Whether this process serves a request with this id.
+    pub fn serves_request(&self, id: RequestId) -> bool {
+        self.requests.contains(id)
+    }
+
     /// Marks a request's connection as established.
     pub fn mark_established(&self, id: RequestId) {
         self.requests.mark_established(id);
--- a/src/runtime/peer_processes.rs
+++ b/src/runtime/peer_processes.rs
@@ -1,6 +1,7 @@
 //! The other processes of this balancer, which run beside this one during a hot restart.
 
-use crate::transfer::ConnectionSender;
+use crate::api::RequestId;
+use crate::transfer::{ClaimedRequestId, ConnectionSender, RequestIdClaims};
 use spanspur_hot_restart::frame::Frame;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -11,6 +12,8 @@
     links: RefCell<Vec<mpsc::Sender<Frame>>>,
     descriptors: Cell<usize>,
     successor: watch::Sender<Option<Rc<ConnectionSender>>>,
+    /// The processes that serve clients beside this one.
+    request_ids: RefCell<Vec<Rc<RequestIdClaims>>>,
 }
 
 impl Default for PeerProcesses {
@@ -19,6 +22,7 @@
             links: RefCell::default(),
             descriptors: Cell::new(0),
             successor: watch::Sender::new(None),
+            request_ids: RefCell::default(),
         }
     }
 }
@@ -35,6 +39,34 @@
         links.retain(|link| link.try_send(frame()).is_ok());
     }
 
+    /// Adds a process that has to be asked before a request is served here.
+    pub fn add_request_ids(&self, claims: Rc<RequestIdClaims>) {
+        self.request_ids.borrow_mut().push(claims);
+    }
+
+    /// Removes a process whose link has ended. Its claims without an answer are granted.
+    pub fn remove_request_ids(&self, claims: &Rc<RequestIdClaims>) {
+        claims.close();
+        let mut request_ids = self.request_ids.borrow_mut();
+        request_ids.retain(|other| !Rc::ptr_eq(other, claims));
+    }
+
+    /// Whether other processes have to be asked before a request is served here.
+    pub fn shares_request_ids(&self) -> bool {
+        !self.request_ids.borrow().is_empty()
+    }
+
+    /// Claims a request id for this process. Returns `None` if another process of this balancer serves a request with the
+    /// id. The claims are to be held until the request is registered.
+    pub async fn claim_request_id(&self, id: RequestId) -> Option<Vec<ClaimedRequestId>> {
+        let processes = self.request_ids.borrow().clone();
+        let mut claimed = Vec::with_capacity(processes.len());
+        for process in processes {
+            claimed.push(process.claim(id).await?);
+        }
+        Some(claimed)
+    }
+
     /// The number of descriptors that another process of this balancer holds.
     pub fn descriptors(&self) -> usize {
         self.descriptors.get()
--- a/src/runtime/request_registry.rs
+++ b/src/runtime/request_registry.rs
@@ -72,6 +72,11 @@
         Some((registration, queue))
     }
 
+    /// Whether the id is in use.
+    pub fn contains(&self, id: RequestId) -> bool {
+        self.requests.borrow().contains_key(&id)
+    }
+
     /// Marks a request's connection as established.
     pub fn mark_established(&self, id: RequestId) {
         if let Some(request) = self.requests.borrow_mut().get_mut(&id) {
--- a/src/transfer/mod.rs
+++ b/src/transfer/mod.rs
@@ -1,14 +1,16 @@
-//! The payloads that one process of a balancer sends to another during a hot restart: its state, its client connections
-//! and updates of the endpoint list.
+//! What one process of a balancer exchanges with another during a hot restart: its state, its client connections, updates
+//! of the endpoint list, and claims of request ids.
 //!
 //! All payloads are encoded with postcard, which identifies fields by position and enum variants by number. The order
 //! and the types of the fields are part of the format between versions.
 
 pub mod connection;
+pub mod request_id_claims;
 pub mod sender;
 pub mod snapshot;
 
 pub use connection::{EstablishedConnection, TransferredConnection};
+pub use request_id_claims::{ClaimedRequestId, RequestIdClaims};
 pub use sender::ConnectionSender;
 pub use snapshot::Snapshot;
 
--- a/tests/client_memory.rs
+++ b/tests/client_memory.rs
@@ -20,8 +20,18 @@
 
 #[test]
 fn the_future_of_a_transferred_client_is_no_larger() {
-    let bytes = size_of_future(|runtime, connection, (client, backend), permit| {
-        serve_transferred(runtime, connection, client, backend, permit)
-    });
+    let bytes = size_of_future(
+        |runtime, connection, (client, backend, permit), (registration, commands)| {
+            serve_transferred(
+                runtime,
+                connection,
+                client,
+                backend,
+                permit,
+                registration,
+                commands,
+            )
+        },
+    );
     assert!(bytes <= MAX_CLIENT_FUTURE, "{bytes} bytes per client");
 }
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,9 +1,11 @@
 //! Tests of balancer processes over loopback sockets, with scripted clients, backends and discovery.
 
+mod deployment;
 mod endings;
 mod fleet;
 mod peers;
 mod replace;
+mod request_ids;
 mod scripted_successor;
 mod service;
 mod shutdown;
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -559,3 +559,10 @@
     });
     backend
 }
+
+/// Sends a line on an established connection and checks that its backend echoes it.
+#[track_caller]
+pub fn assert_echo(client: &mut Peer, text: &str) {
+    client.send(text);
+    assert_eq!(client.read_line(), text);
+}
--- a/tests/sockets/replace.rs
+++ b/tests/sockets/replace.rs
@@ -1,94 +1,14 @@
 //! Hot restart: two processes of one balancer that inherit the same listening socket.
 
+use crate::deployment::Deployment;
 use crate::peers::*;
 use crate::scripted_successor::{ScriptedSuccessor, connection_number};
-use spanspur_hot_restart::frame::{Frame, VERSION, encode};
+use spanspur_hot_restart::frame::{Frame, VERSION};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::net::UnixStream;
-use std::path::PathBuf;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// What the processes of one balancer share: the address, the inherited listening socket, the folder, discovery and the
-/// cached endpoints.
-struct Deployment {
-    address: SocketAddr,
-    listener: TcpListener,
-    folder: Arc<Folder>,
-    discovery: Discovery,
-    cached: Vec<String>,
-}
-
-impl Deployment {
-    fn new(backends: &[&Backend]) -> Self {
-        let [address, _] = free_ports();
-        let mut folder = Folder::new(address);
-        folder.settings = folder
-            .settings
-            .replace(LENIENT_MESSAGE_AIM.0, LENIENT_MESSAGE_AIM.1);
-        Self {
-            address,
-            listener: TcpListener::bind(address).expect("free"),
-            folder: Arc::new(folder),
-            discovery: Discovery::new(),
-            cached: backends
-                .iter()
-                .map(|backend| backend.endpoint("SERVING"))
-                .collect(),
-        }
-    }
-
-    /// Starts a process beside those that are running, and waits until it is ready.
-    #[track_caller]
-    fn start(&self) -> Balancer {
-        let [_, admin_address] = free_ports();
-        let folder = self.folder.clone();
-        let inherited = Some(&self.listener);
-        let process = Balancer::spawn(
-            folder,
-            self.address,
-            admin_address,
-            inherited,
-            self.discovery.address,
-            &self.cached,
-        );
-        wait_until(|| TcpStream::connect(admin_address).is_ok());
-        wait_until(|| process.admin_request("/_ready", "").0 == 200);
-        process
-    }
-
-    /// Replaces a process as the platform does: the old process receives SIGTERM once the new one is ready.
-    fn replace(&self, old: Balancer) -> Balancer {
-        let new = self.start();
-        old.signal("-TERM");
-        assert_eq!(old.wait_for_exit(), Some(0));
-        new
-    }
-
-    /// The socket on which the newest process listens for its successor.
-    fn hot_restart_socket(&self) -> PathBuf {
-        self.folder.path.join("spanspur-n0.sock")
-    }
-
-    /// Connects to the hot restart socket in the role of a successor and sends these frames.
-    fn connect_as_successor(&self, frames: &[Frame]) -> UnixStream {
-        let mut stream =
-            UnixStream::connect(self.hot_restart_socket()).expect("the process listens");
-        for frame in frames {
-            stream
-                .write_all(&encode(frame, 0).expect("small"))
-                .expect("sent");
-        }
-        stream
-    }
-}
-
-fn assert_echo(client: &mut Peer, text: &str) {
-    client.send(text);
-    assert_eq!(client.read_line(), text);
-}
-
 #[test]
 fn established_connections_and_partial_lines_survive_two_hot_restarts() {
     let backend = Backend::new("s-1");
--- a/tests/sockets/scripted_successor.rs
+++ b/tests/sockets/scripted_successor.rs
@@ -19,7 +19,11 @@
 impl ScriptedSuccessor {
     /// Connects to the hot restart socket of the process.
     pub fn connect(socket: &Path) -> Self {
-        let stream = UnixStream::connect(socket).expect("the process listens");
+        Self::new(UnixStream::connect(socket).expect("the process listens"))
+    }
+
+    /// Uses this link to the process.
+    pub fn new(stream: UnixStream) -> Self {
         stream
             .set_read_timeout(Some(READ_TIMEOUT))
             .expect("a timeout");
--- a/tests/transfer.rs
+++ b/tests/transfer.rs
@@ -13,9 +13,12 @@
     EstablishedConnection, Snapshot, TransferredConnection, list_update_frame,
 };
 use spanspur_admin::maintenance::MaintenanceSet;
-use spanspur_hot_restart::frame::{DecodedFrame, Frame, VERSION, decode, encode};
+use spanspur_hot_restart::frame::{DecodedFrame, Frame, decode, encode};
 use std::path::{Path, PathBuf};
 
+/// The protocol version of the builds that the fixture of a snapshot was written by.
+const FIXTURE_VERSION: u32 = 2;
+
 fn fixture(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR"))
         .join("tests/fixtures")
@@ -267,11 +270,11 @@
     };
     let payload = postcard::to_stdvec(&expected).expect("the snapshot is encoded");
     let frame = Frame::State {
-        version: VERSION,
+        version: FIXTURE_VERSION,
         snapshot: payload,
     };
     let Frame::State {
-        version: VERSION,
+        version: FIXTURE_VERSION,
         snapshot: payload,
     } = assert_matches_fixture("state_known", &frame, 0)
     else {
