Log why a link between the processes of a hot restart failed

Change: both processes log `link to predecessor failed` or `link to successor failed` with the error.

--- a/src/lifecycle/hot_restart/peer.rs
+++ b/src/lifecycle/hot_restart/peer.rs
@@ -8,7 +8,7 @@
 use crate::transfer::RequestIdClaims;
 use spanspur_admin::maintenance::MaintenanceSet;
 use spanspur_hot_restart::frame::Frame;
-use spanspur_hot_restart::link::Sender;
+use spanspur_hot_restart::link::{LinkError, Sender};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -32,7 +32,7 @@
     mut request_ids: mpsc::Receiver<Frame>,
     mut updates: mpsc::Receiver<Frame>,
     held_descriptors: impl Fn() -> usize,
-) {
+) -> Result<(), LinkError> {
     let mut reported = None;
     loop {
         let pause = match reported {
@@ -45,15 +45,13 @@
             update = updates.recv() => update,
             () = sleep(pause) => Some(Frame::HeldDescriptors(held_descriptors() as u32)),
         };
-        let Some(frame) = frame else { return };
+        let Some(frame) = frame else { return Ok(()) };
         if let Frame::HeldDescriptors(held) = frame
             && reported.replace(held) == Some(held)
         {
             continue;
         }
-        if sender.send(&frame, &[]).await.is_err() {
-            return;
-        }
+        sender.send(&frame, &[]).await?;
     }
 }
 
--- a/src/lifecycle/hot_restart/predecessor.rs
+++ b/src/lifecycle/hot_restart/predecessor.rs
@@ -7,7 +7,7 @@
 use crate::invariants;
 use crate::transfer::{ConnectionSender, RequestIdClaims};
 use spanspur_hot_restart::frame::{Frame, MIN_VERSION, REQUEST_ID_VERSION, VERSION};
-use spanspur_hot_restart::link::{ReceivedFrame, Receiver, link};
+use spanspur_hot_restart::link::{LinkError, ReceivedFrame, Receiver, link};
 use spanspur_hot_restart::predecessor::{Input, SuccessorId};
 use spanspur_hot_restart::request_ids::Role;
 use std::fs::{self, Permissions};
@@ -113,9 +113,12 @@
             transfers: transfers.clone(),
             request_ids: request_ids.clone(),
         };
-        tokio::select! {
-            () = self.receive(&peer, receiver) => {}
-            () = send_updates(transfers.link(), claim_frames, updates, held_descriptors) => {}
+        let ended = tokio::select! {
+            ended = self.receive(&peer, receiver) => ended,
+            ended = send_updates(transfers.link(), claim_frames, updates, held_descriptors) => ended,
+        };
+        if let Err(error) = ended {
+            tracing::warn!(%error, ?id, "link to successor failed");
         }
         self.runtime.peer_processes.remove_request_ids(&request_ids);
         self.remove_successor(id, &transfers);
@@ -126,8 +129,13 @@
         Frame::State { version, snapshot }
     }
 
-    async fn receive(&self, successor: &Successor, mut receiver: Receiver) {
-        while let Ok(Some(ReceivedFrame { frame, .. })) = receiver.next().await {
+    /// Handles the successor's frames until it closes the link.
+    async fn receive(
+        &self,
+        successor: &Successor,
+        mut receiver: Receiver,
+    ) -> Result<(), LinkError> {
+        while let Some(ReceivedFrame { frame, .. }) = receiver.next().await? {
             match frame {
                 Frame::Ready => self.successor_ready(successor),
                 Frame::Acknowledge { number, taken_over } => {
@@ -136,6 +144,7 @@
                 update => apply_update(&self.runtime, &successor.request_ids, update),
             }
         }
+        Ok(())
     }
 
     /// From now on the successor serves clients beside this process.
--- a/src/lifecycle/hot_restart/successor.rs
+++ b/src/lifecycle/hot_restart/successor.rs
@@ -188,37 +188,37 @@
             ..
         } = self;
         let held_descriptors = || runtime.connection_limit.held();
-        tokio::select! {
-            () = receive(&runtime, &sender, &request_ids, receiver) => {}
-            () = send_updates(&sender, claim_frames, updates, held_descriptors) => {}
-        }
+        let ended = tokio::select! {
+            ended = receive(&runtime, &sender, &request_ids, receiver) => ended,
+            ended = send_updates(&sender, claim_frames, updates, held_descriptors) => ended,
+        };
         runtime.peer_processes.remove_request_ids(&request_ids);
         runtime.peer_processes.set_descriptors(0);
-        tracing::info!(
-            established = runtime.established_requests().len(),
-            "link to predecessor closed"
-        );
+        let established = runtime.established_requests().len();
+        match ended {
+            Ok(()) => tracing::info!(established, "link to predecessor closed"),
+            Err(error) => tracing::warn!(%error, established, "link to predecessor failed"),
+        }
     }
 }
 
-/// Takes over connections and applies updates until the link closes.
+/// Takes over connections and applies updates until the predecessor closes the link.
 async fn receive(
     runtime: &Rc<Runtime>,
     sender: &Sender,
     request_ids: &RequestIdClaims,
     mut receiver: Receiver,
-) {
-    while let Ok(Some(ReceivedFrame { frame, descriptors })) = receiver.next().await {
+) -> Result<(), LinkError> {
+    while let Some(ReceivedFrame { frame, descriptors }) = receiver.next().await? {
         let Frame::Connection { number, payload } = frame else {
             apply_update(runtime, request_ids, frame);
             continue;
         };
         let taken_over = take_over(runtime, &payload, descriptors);
         let acknowledgement = Frame::Acknowledge { number, taken_over };
-        if sender.send(&acknowledgement, &[]).await.is_err() {
-            return;
-        }
+        sender.send(&acknowledgement, &[]).await?;
     }
+    Ok(())
 }
 
 /// Starts serving a connection of the predecessor. Returns `false` if the connection cannot be taken over.
