Accept no client before the predecessor's descriptors are known

Cause: the newer process took the older one to hold no descriptors until its first report. Change: until the first report all descriptors count as the predecessor's, and the newer process waits for it (0.5 s at most) before it accepts. A process whose limit falls evicts idle clients down to it. A transferred client in service evicts idle ones; a transferred idle client is admitted only within the limit, else the predecessor keeps it. A client that lingers after its eviction counts as reserved only, not twice. Why it works: the clients of both processes are counted against one limit from the first one that the newer accepts.

--- a/src/lifecycle/hot_restart/peer.rs
+++ b/src/lifecycle/hot_restart/peer.rs
@@ -68,6 +68,8 @@
         Frame::HeldDescriptors(held) => {
             let descriptors = held as usize + OWN_DESCRIPTORS;
             runtime.peer_processes.set_descriptors(descriptors);
+            let limit = runtime.descriptor_limit();
+            runtime.connection_limit.evict_excess(limit);
         }
         Frame::EndpointList(payload) => apply_endpoint_list(runtime, &payload),
         Frame::Maintenance(text) => match MaintenanceSet::parse(text.as_bytes()) {
--- a/src/lifecycle/hot_restart/successor.rs
+++ b/src/lifecycle/hot_restart/successor.rs
@@ -16,12 +16,16 @@
 use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::{TcpStream, UnixStream};
 use tokio::sync::mpsc;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::timeout;
 
+/// Timeout for the predecessor's first report of its descriptors. Until then all are taken to be the predecessor's.
+const DESCRIPTOR_COUNT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Why the state of a predecessor cannot be taken over.
 #[derive(Debug, Error)]
 enum PredecessorError {
@@ -158,6 +162,9 @@
         let request_ids = request_ids.clone();
         runtime.peer_processes.add_request_ids(request_ids);
     }
+    // Replaced by the predecessor's first report.
+    let all_descriptors = runtime.process_config().max_descriptors;
+    runtime.peer_processes.set_descriptors(all_descriptors);
     runtime.restore(snapshot);
     PredecessorLink {
         sender,
@@ -170,14 +177,30 @@
 }
 
 impl PredecessorLink {
-    /// Notifies the predecessor that this process is ready to accept clients, and starts taking over its connections.
-    pub async fn notify_ready(self, runtime: Rc<Runtime>) {
+    /// Notifies the predecessor that this process is ready to accept clients, and starts taking over its connections. This
+    /// process may not accept clients before it knows how many descriptors the predecessor holds.
+    pub async fn notify_ready(mut self, runtime: Rc<Runtime>) {
+        let count = self.receive_descriptor_count(&runtime);
+        if timeout(DESCRIPTOR_COUNT_TIMEOUT, count).await.is_err() {
+            tracing::warn!("the predecessor has not reported its descriptors");
+        }
         if self.sender.send(&Frame::Ready, &[]).await.is_err() {
             tracing::warn!("link to predecessor closed before this process was ready");
         }
         spawn_local(self.serve(runtime));
     }
 
+    /// Applies updates until the predecessor has reported its descriptors, or the link has ended.
+    async fn receive_descriptor_count(&mut self, runtime: &Rc<Runtime>) {
+        while let Ok(Some(ReceivedFrame { frame, .. })) = self.receiver.next().await {
+            let is_count = matches!(frame, Frame::HeldDescriptors(_));
+            apply_update(runtime, &self.request_ids, frame);
+            if is_count {
+                return;
+            }
+        }
+    }
+
     async fn serve(self, runtime: Rc<Runtime>) {
         let Self {
             sender,
@@ -217,6 +240,8 @@
         let taken_over = take_over(runtime, &payload, descriptors);
         let acknowledgement = Frame::Acknowledge { number, taken_over };
         sender.send(&acknowledgement, &[]).await?;
+        // Lets evicted clients close before the next connection is received.
+        yield_now().await;
     }
     Ok(())
 }
@@ -238,7 +263,7 @@
         }
         Ok(TransferredConnection::AwaitingRequest(received, time_left)) => {
             let client = streams.next();
-            client.map(|client| serve_awaiting_request(runtime, client, received, time_left))
+            client.and_then(|client| serve_awaiting_request(runtime, client, received, time_left))
         }
         Err(error) => {
             tracing::warn!(%error, "invalid connection state from the predecessor");
@@ -259,7 +284,8 @@
     backend: TcpStream,
 ) -> Option<()> {
     let (registration, commands) = runtime.register_request(connection.request.id)?;
-    let permit = runtime.connection_limit.admit_in_service();
+    let limit = runtime.descriptor_limit();
+    let permit = runtime.connection_limit.admit_in_service(limit);
     let serve = serve_transferred(
         runtime.clone(),
         connection,
@@ -273,13 +299,17 @@
     Some(())
 }
 
+/// Serves a client that has not completed its request line, unless the descriptor limit is reached: the predecessor then
+/// keeps it.
 fn serve_awaiting_request(
     runtime: &Rc<Runtime>,
     client: TcpStream,
     received: Vec<u8>,
     time_left: f64,
-) {
-    let permit = runtime.connection_limit.admit_idle();
+) -> Option<()> {
+    let limit = runtime.descriptor_limit();
+    let permit = runtime.connection_limit.admit_idle(limit)?;
     let reader = ClientReader::resume(runtime, received, duration(time_left));
     drop(spawn_local(serve(runtime.clone(), client, permit, reader)));
+    Some(())
 }
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -36,7 +36,7 @@
     let _ = client.set_nodelay(true);
     let first_line = match receive(&runtime, &client, &mut permit, &mut reader).await {
         Received::Line(first_line) => first_line,
-        Received::Evicted => return reject_for_descriptors(&runtime, &client).await,
+        Received::Evicted => return evict(&runtime, &client, permit).await,
         Received::Transferred => return,
     };
     let is_front = reader.is_front();
@@ -47,7 +47,7 @@
         FirstLine::Malformed(reason) => Err(RequestEnd::Response(reason.respond())),
         FirstLine::Request(request) => {
             if !permit.acquire_for_service(runtime.descriptor_limit()) {
-                return reject_for_descriptors(&runtime, &client).await;
+                return evict(&runtime, &client, permit).await;
             }
             open(&runtime, &client, request).await
         }
@@ -76,6 +76,13 @@
     }
 }
 
+/// Rejects a client whose descriptor is needed. Its permit is released at once: the descriptor counts as a reserved one
+/// while the connection lingers.
+async fn evict(runtime: &Runtime, client: &TcpStream, permit: ConnectionPermit) {
+    drop(permit);
+    reject_for_descriptors(runtime, client).await;
+}
+
 /// Receives the client's first line, unless the client is evicted or transferred before.
 async fn receive(
     runtime: &Runtime,
--- a/src/runtime/connection_limit.rs
+++ b/src/runtime/connection_limit.rs
@@ -67,17 +67,35 @@
         })
     }
 
-    /// Creates a permit for an idle client transferred from another process of this balancer, regardless of the limit.
-    pub fn admit_idle(self: &Rc<Self>) -> ConnectionPermit {
+    /// Creates a permit for an idle client transferred from another process of this balancer. Returns `None` at the limit:
+    /// no client here is evicted for it.
+    pub fn admit_idle(self: &Rc<Self>, descriptor_limit: usize) -> Option<ConnectionPermit> {
+        if self.held.get() + IDLE_DESCRIPTORS > client_descriptors(descriptor_limit) {
+            return None;
+        }
         let mut permit = self.admit(IDLE_DESCRIPTORS);
         permit.become_idle();
+        Some(permit)
+    }
+
+    /// Creates a permit for a client in service transferred from another process of this balancer. At the limit, idle
+    /// clients are evicted for it; if there is none, it is admitted all the same, as it may not be lost.
+    pub fn admit_in_service(self: &Rc<Self>, descriptor_limit: usize) -> ConnectionPermit {
+        let permit = self.admit(SERVICE_DESCRIPTORS);
+        self.evict_excess(descriptor_limit);
         permit
     }
 
-    /// Creates a permit for a client in service transferred from another process of this balancer, regardless of the
-    /// limit.
-    pub fn admit_in_service(self: &Rc<Self>) -> ConnectionPermit {
-        self.admit(SERVICE_DESCRIPTORS)
+    /// Evicts idle clients, the longest idle first, until the clients are within the limit or none is idle. To be called
+    /// when the limit may have decreased.
+    pub fn evict_excess(&self, descriptor_limit: usize) {
+        let limit = client_descriptors(descriptor_limit);
+        let excess = self.held.get().saturating_sub(limit);
+        for _ in 0..excess {
+            if !self.evict_one() {
+                return;
+            }
+        }
     }
 
     fn admit(self: &Rc<Self>, held: usize) -> ConnectionPermit {
--- a/tests/sockets/deployment.rs
+++ b/tests/sockets/deployment.rs
@@ -1,10 +1,11 @@
 //! Processes of one balancer that inherit the same listening socket, as the platform starts them.
 
 use crate::peers::*;
+use crate::scripted_predecessor::PredecessorSocket;
 use spanspur_hot_restart::frame::{Frame, encode};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::PathBuf;
 use std::sync::Arc;
 
@@ -70,6 +71,12 @@
         self.folder.path.join("spanspur-n0.sock")
     }
 
+    /// Listens on the hot restart socket in the role of the running process. Its endpoint list has this backend.
+    pub fn listen_as_predecessor(&self, backend: &Backend) -> PredecessorSocket {
+        let listener = UnixListener::bind(self.hot_restart_socket()).expect("a free path");
+        PredecessorSocket::new(listener, self.discovery.address, backend)
+    }
+
     /// Connects to the hot restart socket in the role of a successor and sends these frames.
     pub fn connect_as_successor(&self, frames: &[Frame]) -> UnixStream {
         let mut stream =
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -1,11 +1,13 @@
 //! Tests of balancer processes over loopback sockets, with scripted clients, backends and discovery.
 
 mod deployment;
+mod descriptors;
 mod endings;
 mod fleet;
 mod peers;
 mod replace;
 mod request_ids;
+mod scripted_predecessor;
 mod scripted_successor;
 mod service;
 mod shutdown;
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -492,6 +492,12 @@
         self.signal("-HUP");
     }
 
+    /// The number of descriptors that the process holds.
+    pub fn open_descriptors(&self) -> usize {
+        let directory = format!("/proc/{}/fd", self.pid());
+        std::fs::read_dir(directory).expect("a process").count()
+    }
+
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
