Keep the link of a hot restart when the kernel drops descriptors of a frame

Cause: one connection whose descriptors the newer process had no room for ended the whole link (DescriptorsMissing), and with it the hand-over of all others. Change: the receiver keeps descriptors by the read that brought them (the kernel ends a read after bytes that carry descriptors) and sees when some were dropped. Such a frame is delivered without descriptors; the newer process refuses the connection, and the older one keeps and migrates it. Only a frame that came with no descriptors at all is an error.

--- a/crates/hot-restart/src/link.rs
+++ b/crates/hot-restart/src/link.rs
@@ -2,7 +2,7 @@
 
 use crate::frame::{Frame, FrameError, HEADER, MAX_DESCRIPTORS, MAX_FRAME, decode, encode};
 use rustix::net::{
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, ReturnFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags, recvmsg, sendmsg,
 };
 use std::collections::VecDeque;
@@ -29,9 +29,9 @@
     /// The socket failed.
     #[error(transparent)]
     Socket(#[from] io::Error),
-    /// The kernel dropped descriptors that were sent with the frame.
-    #[error("descriptors of a frame are missing: the descriptor limit of this process is reached")]
-    DescriptorsMissing,
+    /// A frame says that descriptors were sent with it, but none were.
+    #[error("a frame was sent without its descriptors")]
+    NoDescriptors,
     /// The buffer has more bytes than the longest frame, but no complete frame.
     #[error("received data exceeds the length of a frame")]
     TooMuchData,
@@ -42,10 +42,20 @@
 pub struct ReceivedFrame {
     /// The frame.
     pub frame: Frame,
-    /// The descriptors, now owned by this process.
+    /// The descriptors, now owned by this process. None if the kernel has dropped any of them because this process holds
+    /// as many as it may; the link remains usable.
     pub descriptors: Vec<OwnedFd>,
 }
 
+/// The descriptors received by one read. The kernel ends a read after the bytes that descriptors were sent with, so they
+/// all belong to one frame.
+#[derive(Debug)]
+struct DescriptorBatch {
+    descriptors: Vec<OwnedFd>,
+    /// Whether the kernel has dropped descriptors because this process holds as many as it may.
+    is_truncated: bool,
+}
+
 /// Splits a stream into a sender and a receiver of frames.
 pub fn link(stream: UnixStream) -> (Sender, Receiver) {
     let stream = Rc::new(stream);
@@ -56,7 +66,7 @@
     let receiver = Receiver {
         stream,
         buffer: Vec::new(),
-        descriptors: VecDeque::new(),
+        batches: VecDeque::new(),
     };
     (sender, receiver)
 }
@@ -112,7 +122,8 @@
 pub struct Receiver {
     stream: Rc<UnixStream>,
     buffer: Vec<u8>,
-    descriptors: VecDeque<OwnedFd>,
+    /// The descriptors of the frames in the buffer that were sent with any, in order.
+    batches: VecDeque<DescriptorBatch>,
 }
 
 impl Receiver {
@@ -120,7 +131,7 @@
     /// not reported. Cancel safe.
     ///
     /// # Errors
-    /// If the received data is not a valid frame, descriptors are missing, or the socket fails.
+    /// If the received data is not a valid frame, a frame was sent without its descriptors, or the socket fails.
     pub async fn next(&mut self) -> Result<Option<ReceivedFrame>, LinkError> {
         loop {
             if let Some(received) = self.take_buffered()? {
@@ -131,8 +142,8 @@
             }
             self.stream.readable().await?;
             let mut chunk = [0; READ_CHUNK];
-            let descriptors = &mut self.descriptors;
-            let read = || read(&self.stream, &mut chunk, descriptors);
+            let batches = &mut self.batches;
+            let read = || read(&self.stream, &mut chunk, batches);
             match self.stream.try_io(Interest::READABLE, read) {
                 Ok(0) => return Ok(None),
                 Ok(n) => self.buffer.extend_from_slice(&chunk[..n]),
@@ -146,31 +157,51 @@
         let Some(decoded) = decode(&self.buffer)? else {
             return Ok(None);
         };
-        if self.descriptors.len() < decoded.descriptors {
-            return Err(LinkError::DescriptorsMissing);
-        }
+        let descriptors = match decoded.descriptors {
+            0 => Vec::new(),
+            count => self.take_descriptors(count)?,
+        };
         self.buffer.drain(..decoded.length);
         Ok(Some(ReceivedFrame {
             frame: decoded.frame,
-            descriptors: self.descriptors.drain(..decoded.descriptors).collect(),
+            descriptors,
         }))
     }
+
+    /// Takes the descriptors of the next frame that was sent with any; none if some are missing.
+    fn take_descriptors(&mut self, count: usize) -> Result<Vec<OwnedFd>, LinkError> {
+        let batch = self.batches.pop_front().ok_or(LinkError::NoDescriptors)?;
+        let is_complete = !batch.is_truncated && batch.descriptors.len() == count;
+        Ok(if is_complete {
+            batch.descriptors
+        } else {
+            Vec::new()
+        })
+    }
 }
 
 fn read(
     stream: &UnixStream,
     chunk: &mut [u8],
-    descriptors: &mut VecDeque<OwnedFd>,
+    batches: &mut VecDeque<DescriptorBatch>,
 ) -> io::Result<usize> {
     let mut space =
         [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(MAX_DESCRIPTORS_PER_READ))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
     let mut buffers = [IoSliceMut::new(chunk)];
     let message = recvmsg(stream, &mut buffers, &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    let mut descriptors = Vec::new();
     for ancillary in control.drain() {
         if let RecvAncillaryMessage::ScmRights(rights) = ancillary {
             descriptors.extend(rights);
         }
     }
+    let is_truncated = message.flags.contains(ReturnFlags::CTRUNC);
+    if is_truncated || !descriptors.is_empty() {
+        batches.push_back(DescriptorBatch {
+            descriptors,
+            is_truncated,
+        });
+    }
     Ok(message.bytes)
 }
