Count the descriptors of connections in transit exactly

The older process reported its descriptors less two for each connection in transit, though a client without a request has one, and counted a connection as in transit while it still waited for its turn on the link: a report sent before sixty waiting connections left out all sixty, and the newer process could fill their room with a crowd. Change: a connection is in transit from its turn on the link, with the descriptors that it has, and a report is made in its turn too, so that it states exactly what has been sent before it.

--- a/crates/hot-restart/src/link.rs
+++ b/crates/hot-restart/src/link.rs
@@ -13,7 +13,7 @@
 use thiserror::Error;
 use tokio::io::Interest;
 use tokio::net::UnixStream;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, MutexGuard};
 
 /// Size of the read buffer, in bytes.
 const READ_CHUNK: usize = 16 * 1024;
@@ -88,15 +88,42 @@
         &self,
         frame: &Frame,
         descriptors: &[BorrowedFd<'_>],
+    ) -> Result<(), LinkError> {
+        self.turn().await.send(frame, descriptors).await
+    }
+
+    /// Waits for the turn to send. A frame that states what has been sent before it is made only then.
+    pub async fn turn(&self) -> SendTurn<'_> {
+        SendTurn {
+            stream: &self.stream,
+            _guard: self.write_lock.lock().await,
+        }
+    }
+}
+
+/// The turn to send one frame. No other frame is sent while it is held.
+pub struct SendTurn<'a> {
+    stream: &'a UnixStream,
+    _guard: MutexGuard<'a, ()>,
+}
+
+impl SendTurn<'_> {
+    /// Sends a complete frame, as [`Sender::send`] does.
+    ///
+    /// # Errors
+    /// If the frame exceeds its limits or the socket fails.
+    pub async fn send(
+        self,
+        frame: &Frame,
+        descriptors: &[BorrowedFd<'_>],
     ) -> Result<(), LinkError> {
         let bytes = encode(frame, descriptors.len())?;
-        let _guard = self.write_lock.lock().await;
         let mut sent = 0;
         while sent < bytes.len() {
             // The descriptors are sent with the first bytes.
             let attached = if sent == 0 { descriptors } else { &[] };
             self.stream.writable().await?;
-            let write = || write(&self.stream, &bytes[sent..], attached);
+            let write = || write(self.stream, &bytes[sent..], attached);
             match self.stream.try_io(Interest::WRITABLE, write) {
                 Ok(written) => sent += written,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/lifecycle/hot_restart/peer.rs
+++ b/src/lifecycle/hot_restart/peer.rs
@@ -39,19 +39,22 @@
             None => Duration::ZERO,
             Some(_) => REPORT_INTERVAL,
         };
-        let frame = tokio::select! {
+        tokio::select! {
             biased;
-            Some(request_id) = request_ids.recv() => Some(request_id),
-            update = updates.recv() => update,
-            () = sleep(pause) => Some(Frame::HeldDescriptors(held_descriptors() as u32)),
-        };
-        let Some(frame) = frame else { return Ok(()) };
-        if let Frame::HeldDescriptors(held) = frame
-            && reported.replace(held) == Some(held)
-        {
-            continue;
+            Some(request_id) = request_ids.recv() => sender.send(&request_id, &[]).await?,
+            update = updates.recv() => match update {
+                Some(update) => sender.send(&update, &[]).await?,
+                None => return Ok(()),
+            },
+            () = sleep(pause) => {
+                // Counted in turn: connections sent before the report are in transit, those after it are not.
+                let turn = sender.turn().await;
+                let held = held_descriptors() as u32;
+                if reported.replace(held) != Some(held) {
+                    turn.send(&Frame::HeldDescriptors(held), &[]).await?;
+                }
+            }
         }
-        sender.send(&frame, &[]).await?;
     }
 }
 
--- a/src/transfer/sender.rs
+++ b/src/transfer/sender.rs
@@ -1,7 +1,7 @@
 //! Sends connections to the successor and waits for its acknowledgements.
 
 use super::connection::TransferredConnection;
-use spanspur_hot_restart::frame::{Frame, MAX_DESCRIPTORS};
+use spanspur_hot_restart::frame::Frame;
 use spanspur_hot_restart::link::Sender;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -13,11 +13,17 @@
 pub struct ConnectionSender {
     link: Sender,
     /// Connections that are sent and not yet acknowledged, by number.
-    unacknowledged: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    unacknowledged: RefCell<HashMap<u64, SentConnection>>,
     next_number: Cell<u64>,
     closed: Cell<bool>,
 }
 
+/// A connection that is sent and not yet acknowledged.
+struct SentConnection {
+    descriptors: usize,
+    acknowledge: oneshot::Sender<bool>,
+}
+
 impl ConnectionSender {
     /// Creates a sender for this link.
     pub fn new(link: Sender) -> Rc<Self> {
@@ -45,17 +51,23 @@
         let Ok(encoded) = postcard::to_stdvec(&connection) else {
             return false;
         };
+        let turn = self.link.turn().await;
         if self.closed.get() {
             return false;
         }
+        // In transit from here on: a report of descriptors that follows on the link leaves the connection out.
         let number = self.next_number.replace(self.next_number.get() + 1);
         let (acknowledge, acknowledged) = oneshot::channel();
-        self.unacknowledged.borrow_mut().insert(number, acknowledge);
+        let sent = SentConnection {
+            descriptors: descriptors.len(),
+            acknowledge,
+        };
+        self.unacknowledged.borrow_mut().insert(number, sent);
         let frame = Frame::Connection {
             number,
             payload: encoded,
         };
-        if let Err(error) = self.link.send(&frame, descriptors).await {
+        if let Err(error) = turn.send(&frame, descriptors).await {
             tracing::warn!(%error, "connection transfer failed");
             self.unacknowledged.borrow_mut().remove(&number);
             return false;
@@ -63,17 +75,18 @@
         acknowledged.await.unwrap_or(false)
     }
 
-    /// Upper bound of the number of descriptors of the connections that are sent and not yet acknowledged. The
-    /// successor counts these descriptors as its own.
+    /// The number of descriptors of the connections that are sent and not yet acknowledged. The successor counts these
+    /// descriptors as its own.
     pub fn descriptors_in_transit(&self) -> usize {
-        self.unacknowledged.borrow().len() * MAX_DESCRIPTORS
+        let unacknowledged = self.unacknowledged.borrow();
+        unacknowledged.values().map(|sent| sent.descriptors).sum()
     }
 
     /// Handles the successor's acknowledgement of a connection. `taken_over` tells whether the successor has taken the
     /// connection over.
     pub fn acknowledge(&self, number: u64, taken_over: bool) {
-        if let Some(waiting) = self.unacknowledged.borrow_mut().remove(&number) {
-            let _ = waiting.send(taken_over);
+        if let Some(sent) = self.unacknowledged.borrow_mut().remove(&number) {
+            let _ = sent.acknowledge.send(taken_over);
         }
     }
 
