Accept no client shortly before the exit on a listening socket that stays open

Cause: a process that is shutting down accepts again when its successor disconnects, and nothing made it stop before it exits. On a socket that the platform holds, clients keep arriving until then. Change: from the final responses on, a process with a shared listening socket accepts nobody; clients that arrive wait in the queue of the socket for the next process. A successor that disconnects later does not change this. Without a shared socket nothing changes: late clients still get BUSY.

--- a/src/lifecycle/graceful_shutdown.rs
+++ b/src/lifecycle/graceful_shutdown.rs
@@ -33,7 +33,8 @@
         exit_within_s = schedule.latest_exit.as_secs_f64(),
         "graceful shutdown"
     );
-    let mut shutdown = GracefulShutdown::new(runtime, schedule);
+    let listener_is_shared = hot_restart.is_some();
+    let mut shutdown = GracefulShutdown::new(runtime, schedule, listener_is_shared);
     shutdown.finish_requests().await;
     shutdown.wait_for_clients_to_close().await;
     if shutdown.migrator.remaining() > 0 {
@@ -45,6 +46,8 @@
     runtime: Rc<Runtime>,
     start: Instant,
     schedule: ShutdownSchedule,
+    /// Whether the platform holds the listening socket, so that it stays open after the exit.
+    listener_is_shared: bool,
     migrator: Migrator,
     /// Requests whose connection has been offered to the successor.
     offered: HashSet<RequestId>,
@@ -52,7 +55,7 @@
 }
 
 impl GracefulShutdown {
-    fn new(runtime: Rc<Runtime>, schedule: ShutdownSchedule) -> Self {
+    fn new(runtime: Rc<Runtime>, schedule: ShutdownSchedule, listener_is_shared: bool) -> Self {
         let now = runtime.now();
         let migrations = DrainSchedule {
             start: now + schedule.arrivals_end.as_secs_f64(),
@@ -61,6 +64,7 @@
         Self {
             start: Instant::now(),
             schedule,
+            listener_is_shared,
             migrator: Migrator::new(runtime.clone(), migrations),
             offered: HashSet::new(),
             idle_ticks: 0,
@@ -126,6 +130,10 @@
             self.runtime.handle_event(Event::ShutdownDeadline(id));
         }
         self.runtime.lifecycle.set_exiting();
+        if self.listener_is_shared {
+            // Clients that arrive now wait in the queue of the listening socket for the next process.
+            self.runtime.lifecycle.set_accepting(false);
+        }
         self.migrator.migrate_all();
     }
 
--- a/src/lifecycle/hot_restart/mod.rs
+++ b/src/lifecycle/hot_restart/mod.rs
@@ -70,7 +70,8 @@
         let (handed_over, successor) = match command {
             Command::StopAccepting => (true, None),
             Command::TransferTo(id) => (true, self.successors.borrow().get(&id).cloned()),
-            Command::ResumeAccepting => (false, None),
+            // A process that is about to exit leaves new clients to the next one.
+            Command::ResumeAccepting => (self.runtime.lifecycle.is_exiting(), None),
         };
         self.runtime.set_clients_handed_over(handed_over);
         self.runtime.peer_processes.set_successor(successor);
--- a/src/runtime/lifecycle_state.rs
+++ b/src/runtime/lifecycle_state.rs
@@ -129,6 +129,11 @@
         self.exiting.send_replace(true);
     }
 
+    /// Whether the process is about to exit.
+    pub fn is_exiting(&self) -> bool {
+        *self.exiting.borrow()
+    }
+
     /// Subscribes to changes of whether the process is about to exit.
     pub fn subscribe_exiting(&self) -> watch::Receiver<bool> {
         self.exiting.subscribe()
