Hand over a few connections at a time, and migrate those that a successor does not take

All connections were offered to the successor at once: each stopped forwarding lines until it was acknowledged, and its descriptors stood in both processes. Behind a successor that hangs all of them waited, and all were cut off without MOVE at the exit; one that was refused was never offered again. Change: four established connections and two clients without a request may be in transit at a time; the others are served meanwhile. A refused connection is offered again until the final responses. From then on no transfer starts, and what is still here gets MOVE. The older process evicts idle clients for the newer one's own descriptors as soon as it connects. A link that the other process closes while this one writes is logged as closed, not as failed.

--- a/crates/hot-restart/src/link.rs
+++ b/crates/hot-restart/src/link.rs
@@ -37,6 +37,17 @@
     TooMuchData,
 }
 
+impl LinkError {
+    /// Whether the other process has closed the link, as it does when it exits.
+    pub fn is_disconnect(&self) -> bool {
+        use io::ErrorKind::{BrokenPipe, ConnectionReset};
+        match self {
+            Self::Socket(error) => matches!(error.kind(), BrokenPipe | ConnectionReset),
+            _ => false,
+        }
+    }
+}
+
 /// A frame with the descriptors that were sent with it.
 #[derive(Debug)]
 pub struct ReceivedFrame {
--- a/src/lifecycle/graceful_shutdown.rs
+++ b/src/lifecycle/graceful_shutdown.rs
@@ -7,11 +7,12 @@
 use crate::api::{Event, RequestId};
 use crate::invariants;
 use crate::runtime::{Command, Runtime, duration};
+use crate::transfer::ConnectionSender;
 use spanspur_admin::drain_schedule::DrainSchedule;
-use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time for clients that have received their last line to close their side.
 const CLOSE_TIME: Duration = Duration::from_millis(200);
@@ -49,8 +50,6 @@
     /// Whether the platform holds the listening socket, so that it stays open after the exit.
     listener_is_shared: bool,
     migrator: Migrator,
-    /// Requests whose connection has been offered to the successor.
-    offered: HashSet<RequestId>,
     idle_ticks: u32,
 }
 
@@ -66,7 +65,6 @@
             schedule,
             listener_is_shared,
             migrator: Migrator::new(runtime.clone(), migrations),
-            offered: HashSet::new(),
             idle_ticks: 0,
             runtime,
         }
@@ -83,9 +81,9 @@
             sleep(MIGRATION_INTERVAL).await;
             if self.is_due(self.schedule.final_responses) {
                 self.end_everything();
-            } else if self.runtime.peer_processes.has_successor() {
+            } else if let Some(successor) = self.runtime.peer_processes.successor() {
                 // The successor takes over the established connections, and no client arrives here any more.
-                self.transfer_established();
+                self.transfer_established(&successor).await;
             } else {
                 self.migrator.migrate_due();
             }
@@ -95,11 +93,22 @@
         }
     }
 
-    fn transfer_established(&mut self) {
-        for id in self.runtime.established_requests() {
-            if self.offered.insert(id) {
+    /// Transfers the established connections, as many at a time as there are slots, until all have been tried once. One
+    /// that the successor refuses is tried again at the next call.
+    async fn transfer_established(&self, successor: &ConnectionSender) {
+        let slots = &successor.established_slots;
+        let mut remaining: VecDeque<RequestId> = self.runtime.established_requests().into();
+        loop {
+            for id in remaining.drain(..slots.free().min(remaining.len())) {
                 self.runtime.send_command(id, Command::Transfer);
             }
+            if remaining.is_empty() || self.is_due(self.schedule.final_responses) {
+                return;
+            }
+            // Bounded, as the successor may hang.
+            if timeout(MIGRATION_INTERVAL, slots.released()).await.is_err() {
+                return;
+            }
         }
     }
 
@@ -134,6 +143,9 @@
             // Clients that arrive now wait in the queue of the listening socket for the next process.
             self.runtime.lifecycle.set_accepting(false);
         }
+        if let Some(successor) = self.runtime.peer_processes.successor() {
+            successor.stop_transfers();
+        }
         self.migrator.migrate_all();
     }
 
--- a/src/lifecycle/hot_restart/peer.rs
+++ b/src/lifecycle/hot_restart/peer.rs
@@ -23,7 +23,7 @@
 /// Interval at which the number of descriptors held by clients is reported, if it has changed.
 const REPORT_INTERVAL: Duration = Duration::from_millis(50);
 /// Descriptors that a process holds apart from its clients': standard streams, event loop, listeners, discovery, admin.
-const OWN_DESCRIPTORS: usize = 20;
+pub const OWN_DESCRIPTORS: usize = 20;
 
 /// Sends claims of request ids, updates and the number of descriptors that clients hold in this process, until the link
 /// fails or the sender of `updates` is dropped.
--- a/src/lifecycle/hot_restart/predecessor.rs
+++ b/src/lifecycle/hot_restart/predecessor.rs
@@ -2,7 +2,8 @@
 
 use super::HotRestart;
 use super::peer::{
-    HELLO_TIMEOUT, MAX_QUEUED_REQUEST_IDS, MAX_QUEUED_UPDATES, apply_update, send_updates,
+    HELLO_TIMEOUT, MAX_QUEUED_REQUEST_IDS, MAX_QUEUED_UPDATES, OWN_DESCRIPTORS, apply_update,
+    send_updates,
 };
 use crate::invariants;
 use crate::transfer::{ConnectionSender, RequestIdClaims};
@@ -101,6 +102,7 @@
         }
         let (claims, claim_frames) = mpsc::channel(MAX_QUEUED_REQUEST_IDS);
         let request_ids = RequestIdClaims::new(Role::Predecessor, claims);
+        self.make_room_for_successor();
         let transfers = ConnectionSender::new(sender);
         self.successors.borrow_mut().insert(id, transfers.clone());
         let held_descriptors = || {
@@ -124,6 +126,16 @@
         self.remove_successor(id, &transfers);
     }
 
+    /// Evicts idle clients until there are descriptors for the successor's own needs. It reports what it holds itself once
+    /// it accepts clients.
+    fn make_room_for_successor(&self) {
+        let processes = &self.runtime.peer_processes;
+        let held = processes.descriptors().max(OWN_DESCRIPTORS);
+        processes.set_descriptors(held);
+        let limit = self.runtime.descriptor_limit();
+        self.runtime.connection_limit.evict_excess(limit);
+    }
+
     fn state(&self, version: u32) -> Frame {
         let snapshot = postcard::to_stdvec(&self.runtime.snapshot()).unwrap_or_default();
         Frame::State { version, snapshot }
--- a/src/lifecycle/hot_restart/successor.rs
+++ b/src/lifecycle/hot_restart/successor.rs
@@ -219,8 +219,11 @@
         runtime.peer_processes.set_descriptors(0);
         let established = runtime.established_requests().len();
         match ended {
-            Ok(()) => tracing::info!(established, "link to predecessor closed"),
-            Err(error) => tracing::warn!(%error, established, "link to predecessor failed"),
+            Err(error) if !error.is_disconnect() => {
+                tracing::warn!(%error, established, "link to predecessor failed");
+            }
+            // A predecessor that exits may still have been about to read.
+            _ => tracing::info!(established, "link to predecessor closed"),
         }
     }
 }
--- a/src/proxy/client.rs
+++ b/src/proxy/client.rs
@@ -9,6 +9,7 @@
 use crate::proxy::request::{OpenedConnection, RequestEnd, open};
 use crate::runtime::connection_limit::ConnectionPermit;
 use crate::runtime::{Command, RequestRegistration, Runtime};
+use crate::transfer::slots::TransferSlot;
 use crate::transfer::{ConnectionSender, EstablishedConnection, TransferredConnection};
 use std::os::fd::AsFd;
 use std::rc::Rc;
@@ -99,7 +100,7 @@
             () = permit.evicted() => return Received::Evicted,
             // The request line may still be in transit: respond as on a timeout.
             Ok(_) = exiting.wait_for(|exiting| *exiting) => return Received::Line(FirstLine::TimedOut),
-            successor = runtime.peer_processes.wait_for_successor(), if !transfer_failed => {
+            (successor, _slot) = wait_for_transfer(runtime), if !transfer_failed => {
                 if transfer(reader, client, &successor).await {
                     return Received::Transferred;
                 }
@@ -109,6 +110,13 @@
     }
 }
 
+/// Waits until there is a successor and this client may be transferred to it.
+async fn wait_for_transfer(runtime: &Runtime) -> (Rc<ConnectionSender>, TransferSlot) {
+    let successor = runtime.peer_processes.wait_for_successor().await;
+    let slot = successor.idle_slots.acquire().await;
+    (successor, slot)
+}
+
 /// Transfers a client that has not completed its first line to the successor. Returns `false` if the client stays with
 /// this process.
 async fn transfer(reader: &ClientReader, client: &TcpStream, successor: &ConnectionSender) -> bool {
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -146,7 +146,8 @@
         CONTINUE
     }
 
-    /// Transfers the connection to the successor of this process, unless the connection is about to end.
+    /// Transfers the connection to the successor of this process, unless the connection is about to end or too many are in
+    /// transit. Its lines wait meanwhile.
     async fn transfer(&mut self) -> Flow {
         if self.is_ending() || !self.try_transfer().await {
             return CONTINUE;
@@ -168,6 +169,9 @@
         let Some(successor) = self.session.runtime().peer_processes.successor() else {
             return false;
         };
+        let Some(_slot) = successor.established_slots.try_acquire() else {
+            return false;
+        };
         let mut connection = self.session.save();
         connection.to_backend = self.to_backend.buffer().to_vec();
         connection.to_client = self.to_client.buffer().to_vec();
--- a/src/transfer/mod.rs
+++ b/src/transfer/mod.rs
@@ -7,6 +7,7 @@
 pub mod connection;
 pub mod request_id_claims;
 pub mod sender;
+pub mod slots;
 pub mod snapshot;
 
 pub use connection::{EstablishedConnection, TransferredConnection};
--- a/src/transfer/sender.rs
+++ b/src/transfer/sender.rs
@@ -1,6 +1,7 @@
 //! Sends connections to the successor and waits for its acknowledgements.
 
 use super::connection::TransferredConnection;
+use super::slots::TransferSlots;
 use spanspur_hot_restart::frame::Frame;
 use spanspur_hot_restart::link::Sender;
 use std::cell::{Cell, RefCell};
@@ -9,6 +10,11 @@
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
+/// Established connections that may be in transit at a time.
+const ESTABLISHED_SLOTS: usize = 4;
+/// Clients without a request that may be in transit at a time.
+const IDLE_SLOTS: usize = 2;
+
 /// Transfers connections over the link to the successor.
 pub struct ConnectionSender {
     link: Sender,
@@ -16,6 +22,10 @@
     unacknowledged: RefCell<HashMap<u64, SentConnection>>,
     next_number: Cell<u64>,
     closed: Cell<bool>,
+    /// Slots for established connections.
+    pub established_slots: Rc<TransferSlots>,
+    /// Slots for clients without a request, apart, so that a crowd of them does not delay established connections.
+    pub idle_slots: Rc<TransferSlots>,
 }
 
 /// A connection that is sent and not yet acknowledged.
@@ -32,6 +42,8 @@
             unacknowledged: RefCell::default(),
             next_number: Cell::new(0),
             closed: Cell::new(false),
+            established_slots: TransferSlots::new(ESTABLISHED_SLOTS),
+            idle_slots: TransferSlots::new(IDLE_SLOTS),
         })
     }
 
@@ -90,6 +102,12 @@
         }
     }
 
+    /// Starts no more transfers; those in transit continue.
+    pub fn stop_transfers(&self) {
+        self.established_slots.close();
+        self.idle_slots.close();
+    }
+
     /// Ends all transfers. Connections that are not acknowledged stay with this process.
     pub fn close(&self) {
         self.closed.set(true);
--- a/tests/connection_sender.rs
+++ b/tests/connection_sender.rs
@@ -55,3 +55,17 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+#[tokio::test(flavor = "current_thread")]
+async fn slots_are_limited_released_and_not_given_out_once_transfers_have_stopped() {
+    let (sender, _receiver) = connected();
+    let slots = sender.established_slots.clone();
+    let mut held: Vec<_> = std::iter::from_fn(|| slots.try_acquire()).collect();
+    assert_eq!((held.len(), slots.free()), (4, 0));
+    held.pop();
+    slots.released().await;
+    assert_eq!(slots.free(), 1);
+    sender.stop_transfers();
+    assert_eq!(slots.free(), 0);
+    assert!(slots.try_acquire().is_none());
+}
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -39,6 +39,18 @@
         }
     }
 
+    /// Like [`Self::read_line`], but returns "" if no line arrives in this time. Part of a line may be lost then.
+    pub fn read_line_within(&mut self, time: Duration) -> String {
+        let set_timeout = |stream: &TcpStream, time| {
+            stream.set_read_timeout(Some(time)).expect("a timeout");
+        };
+        set_timeout(self.0.get_ref(), time);
+        let mut line = String::new();
+        let read = self.0.read_line(&mut line);
+        set_timeout(self.0.get_ref(), STEP_TIMEOUT);
+        read.map_or_else(|_| String::new(), |_| line)
+    }
+
     pub fn stream(&self) -> &TcpStream {
         self.0.get_ref()
     }
@@ -259,6 +271,23 @@
     folder: Arc<Folder>,
 }
 
+/// The number of descriptors that a process holds; 0 once it has exited.
+pub fn open_descriptors(pid: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
+}
+
+/// The command that starts the program, with a limit on its descriptors if there is one.
+fn program(enforced_descriptors: Option<usize>) -> Command {
+    const PROGRAM: &str = env!("CARGO_BIN_EXE_spanspur");
+    let Some(descriptors) = enforced_descriptors else {
+        return Command::new(PROGRAM);
+    };
+    let mut shell = Command::new("/bin/sh");
+    shell.args(["-c", r#"ulimit -n "$0" && exec "$1""#]);
+    shell.args([&descriptors.to_string(), PROGRAM]);
+    shell
+}
+
 /// Default settings of the tests.
 const SETTINGS: &str = r#"{"balancers":1,"zone":"a","membershipMode":"on_request",
         "classes":[{"name":"live","onTime":0.5,"hardLimit":2.0,"semantics":"free","stream":true}],
@@ -274,6 +303,8 @@
     pub path: std::path::PathBuf,
     /// Setting `limits.sockets`: the number of descriptors that a process may hold.
     pub sockets: usize,
+    /// The number of descriptors to which the kernel limits each process, if it is limited.
+    pub enforced_descriptors: Option<usize>,
     /// The `settings` of the configuration, as JSON.
     pub settings: String,
     pub log_level: &'static str,
@@ -292,6 +323,7 @@
         Self {
             path: folder,
             sockets: 256,
+            enforced_descriptors: None,
             settings: SETTINGS.into(),
             log_level: "debug",
         }
@@ -392,7 +424,7 @@
         write_config(&folder, address, &discovery.to_string(), cached);
         let log = folder.path.join("log");
         let log = std::fs::File::options().create(true).append(true).open(log);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_spanspur"));
+        let mut command = program(folder.enforced_descriptors);
         command
             .env("BALANCER_CONFIG", folder.path.join("config.json"))
             .env("BALANCER_DISCOVERY", discovery.to_string())
@@ -492,12 +524,6 @@
         self.signal("-HUP");
     }
 
-    /// The number of descriptors that the process holds.
-    pub fn open_descriptors(&self) -> usize {
-        let directory = format!("/proc/{}/fd", self.pid());
-        std::fs::read_dir(directory).expect("a process").count()
-    }
-
     pub fn pid(&self) -> u32 {
         self.child.id()
     }
--- a/tests/sockets/replace.rs
+++ b/tests/sockets/replace.rs
@@ -168,12 +168,55 @@
     successor.send(&Frame::Ready);
     wait_until(|| process.admin_request("/_ready", "").0 == 503);
     process.signal("-TERM");
-    let number = successor.receive(connection_number);
-    let taken_over = false;
-    successor.send(&Frame::Acknowledge { number, taken_over });
+    let refused = std::thread::spawn(move || successor.refuse_connections());
     assert_migrated_after_echo(&mut client);
     drop(client);
     assert_eq!(process.wait_for_exit(), Some(0));
+    assert!(refused.join().expect("no panic") > 0);
+}
+
+/// Guards against connections whose lines wait for a successor that hangs, and that are cut off with it.
+#[test]
+fn a_hanging_successor_holds_only_the_connections_in_transit_and_the_others_are_migrated() {
+    const CONNECTIONS: u64 = 40;
+    const MAX_IN_TRANSIT: usize = 4;
+    let backend = echo_backend("s-1");
+    let deployment = Deployment::new(&[&backend]);
+    let process = deployment.start();
+    let open = |id| {
+        let mut client = process.open(id, 2000);
+        assert_eq!(client.read_line(), "UP r1\r\n");
+        client
+    };
+    let clients: Vec<Peer> = (0x600..0x600 + CONNECTIONS).map(open).collect();
+    let mut successor = ScriptedSuccessor::connect(&deployment.hot_restart_socket());
+    successor.send(&Frame::Hello { version: VERSION });
+    successor.send(&Frame::Ready);
+    wait_until(|| process.admin_request("/_ready", "").0 == 503);
+    process.signal("-TERM");
+    successor.receive(connection_number);
+    std::thread::sleep(Duration::from_millis(200));
+    let is_served = |client: &mut Peer| {
+        client.send("M 1\r\n");
+        client.read_line_within(Duration::from_millis(200)) == "M 1\r\n"
+    };
+    let (mut served, mut in_transit) = (Vec::new(), Vec::new());
+    for mut client in clients {
+        match is_served(&mut client) {
+            true => served.push(client),
+            false => in_transit.push(client),
+        }
+    }
+    assert!(
+        in_transit.len() <= MAX_IN_TRANSIT,
+        "{} in transit",
+        in_transit.len()
+    );
+    for client in &mut served {
+        assert_eq!(client.read_line(), "MOVE\r\n");
+    }
+    drop(served);
+    assert_eq!(process.wait_for_exit(), Some(0));
 }
 
 /// Asserts that the client is migrated. Until then the old process serves it, so a line may still be echoed.
--- a/tests/sockets/scripted_successor.rs
+++ b/tests/sockets/scripted_successor.rs
@@ -14,6 +14,8 @@
 pub struct ScriptedSuccessor {
     stream: UnixStream,
     received: Vec<u8>,
+    /// Whether the process has closed the link.
+    is_closed: bool,
 }
 
 impl ScriptedSuccessor {
@@ -30,6 +32,7 @@
         Self {
             stream,
             received: Vec::new(),
+            is_closed: false,
         }
     }
 
@@ -54,10 +57,25 @@
         selected.expect("a frame")
     }
 
+    /// Refuses every connection until the process closes the link, and returns how many were refused.
+    pub fn refuse_connections(mut self) -> usize {
+        let mut refused = 0;
+        while !self.is_closed {
+            let Some(number) = self.next_frame().and_then(connection_number) else {
+                continue;
+            };
+            let taken_over = false;
+            self.send(&Frame::Acknowledge { number, taken_over });
+            refused += 1;
+        }
+        refused
+    }
+
     /// Returns the next frame, or `None` if no complete frame has arrived.
     pub fn next_frame(&mut self) -> Option<Frame> {
         let mut chunk = [0; 4096];
         match self.stream.read(&mut chunk) {
+            Ok(0) => self.is_closed = true,
             Ok(read) => self.received.extend_from_slice(&chunk[..read]),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             Err(error) => panic!("cannot read from the process: {error}"),
