Count a handed-over connection as in transit until its permit is released

Cause: the descriptors of an acknowledged connection left the count of those in transit before its task had released their permit. A report sent between the two counted them twice, for up to 50 ms. Change: the count falls in the same step in which the connection's own task ends. The test of the sender now checks that it still counts after the acknowledgement, and not after the task went on.

--- a/src/lifecycle/hot_restart/mod.rs
+++ b/src/lifecycle/hot_restart/mod.rs
@@ -7,6 +7,7 @@
 mod peer;
 mod predecessor;
 mod successor;
+mod take_over;
 
 pub use successor::PredecessorLink;
 
--- a/src/lifecycle/hot_restart/predecessor.rs
+++ b/src/lifecycle/hot_restart/predecessor.rs
@@ -8,7 +8,7 @@
 use crate::invariants;
 use crate::transfer::{ConnectionSender, RequestIdClaims};
 use spanspur_hot_restart::frame::{Frame, MIN_VERSION, REQUEST_ID_VERSION, VERSION};
-use spanspur_hot_restart::link::{LinkError, ReceivedFrame, Receiver, link};
+use spanspur_hot_restart::link::{LinkError, ReceivedFrame, Receiver, Sender, link};
 use spanspur_hot_restart::predecessor::{Input, SuccessorId};
 use spanspur_hot_restart::request_ids::Role;
 use std::fs::{self, Permissions};
@@ -83,47 +83,49 @@
         let Some(version) = receive_hello(&mut receiver).await else {
             return invariants::count("successor without hello");
         };
-        let is_supported = (MIN_VERSION..=VERSION).contains(&version);
-        let (queue, updates) = mpsc::channel(MAX_QUEUED_UPDATES);
-        let state = match is_supported {
-            true => self.state(version),
-            false => refusal(),
-        };
-        if is_supported {
-            self.runtime.peer_processes.add(queue);
-        }
-        if sender.send(&state, &[]).await.is_err() || !is_supported {
-            return tracing::warn!(
-                version,
-                oldest = MIN_VERSION,
-                newest = VERSION,
-                "successor not served: no common protocol version, or the link failed"
-            );
+        if !(MIN_VERSION..=VERSION).contains(&version) {
+            return refuse(&sender, version).await;
         }
-        let (claims, claim_frames) = mpsc::channel(MAX_QUEUED_REQUEST_IDS);
-        let request_ids = RequestIdClaims::new(Role::Predecessor, claims);
+        let updates = match self.send_state(&sender, version).await {
+            Ok(updates) => updates,
+            Err(error) => return tracing::warn!(%error, "state not sent to successor"),
+        };
         self.make_room_for_successor();
-        let transfers = ConnectionSender::new(sender);
+        let (claims, claim_frames) = mpsc::channel(MAX_QUEUED_REQUEST_IDS);
+        let successor = Successor {
+            id,
+            version,
+            transfers: ConnectionSender::new(sender),
+            request_ids: RequestIdClaims::new(Role::Predecessor, claims),
+        };
+        let transfers = &successor.transfers;
         self.successors.borrow_mut().insert(id, transfers.clone());
         let held_descriptors = || {
             let held = self.runtime.connection_limit.held();
             held.saturating_sub(transfers.descriptors_in_transit())
         };
-        let peer = Successor {
-            id,
-            version,
-            transfers: transfers.clone(),
-            request_ids: request_ids.clone(),
-        };
         let ended = tokio::select! {
-            ended = self.receive(&peer, receiver) => ended,
+            ended = self.receive(&successor, receiver) => ended,
             ended = send_updates(transfers.link(), claim_frames, updates, held_descriptors) => ended,
         };
         if let Err(error) = ended {
             tracing::warn!(%error, ?id, "link to successor failed");
         }
-        self.runtime.peer_processes.remove_request_ids(&request_ids);
-        self.remove_successor(id, &transfers);
+        self.remove_successor(&successor);
+    }
+
+    /// Sends the state to a successor. Returns the queue of the updates that follow it.
+    async fn send_state(
+        &self,
+        sender: &Sender,
+        version: u32,
+    ) -> Result<mpsc::Receiver<Frame>, LinkError> {
+        let (queue, updates) = mpsc::channel(MAX_QUEUED_UPDATES);
+        self.runtime.peer_processes.add(queue);
+        let snapshot = postcard::to_stdvec(&self.runtime.snapshot()).unwrap_or_default();
+        let state = Frame::State { version, snapshot };
+        sender.send(&state, &[]).await?;
+        Ok(updates)
     }
 
     /// Evicts idle clients until there are descriptors for the successor's own needs. It reports what it holds itself once
@@ -136,11 +138,6 @@
         self.runtime.connection_limit.evict_excess(limit);
     }
 
-    fn state(&self, version: u32) -> Frame {
-        let snapshot = postcard::to_stdvec(&self.runtime.snapshot()).unwrap_or_default();
-        Frame::State { version, snapshot }
-    }
-
     /// Handles the successor's frames until it closes the link.
     async fn receive(
         &self,
@@ -168,22 +165,33 @@
         self.handle(Input::SuccessorReady(successor.id));
     }
 
-    fn remove_successor(&self, id: SuccessorId, transfers: &ConnectionSender) {
-        transfers.close();
-        self.successors.borrow_mut().remove(&id);
+    fn remove_successor(&self, successor: &Successor) {
+        let processes = &self.runtime.peer_processes;
+        processes.remove_request_ids(&successor.request_ids);
+        successor.transfers.close();
+        self.successors.borrow_mut().remove(&successor.id);
         // The count is reset with the last successor only: another one may still hold descriptors.
         if self.successors.borrow().is_empty() {
-            self.runtime.peer_processes.set_descriptors(0);
+            processes.set_descriptors(0);
         }
-        self.handle(Input::SuccessorGone(id));
+        self.handle(Input::SuccessorGone(successor.id));
     }
 }
 
-/// Returns the response to a successor of another version. The empty snapshot is a refusal in any version.
-fn refusal() -> Frame {
-    Frame::State {
+/// Refuses a successor of another version. The empty snapshot is a refusal in any version.
+async fn refuse(sender: &Sender, version: u32) {
+    tracing::warn!(
+        version,
+        oldest = MIN_VERSION,
+        newest = VERSION,
+        "successor not served: no common protocol version"
+    );
+    let refusal = Frame::State {
         version: VERSION,
         snapshot: Vec::new(),
+    };
+    if let Err(error) = sender.send(&refusal, &[]).await {
+        tracing::debug!(%error, "refusal not sent to successor");
     }
 }
 
--- a/src/transfer/sender.rs
+++ b/src/transfer/sender.rs
@@ -19,7 +19,8 @@
 pub struct ConnectionSender {
     link: Sender,
     /// Connections that are sent and not yet acknowledged, by number.
-    unacknowledged: RefCell<HashMap<u64, SentConnection>>,
+    unacknowledged: RefCell<HashMap<u64, oneshot::Sender<bool>>>,
+    descriptors_in_transit: Cell<usize>,
     next_number: Cell<u64>,
     closed: Cell<bool>,
     /// Slots for established connections.
@@ -28,10 +29,23 @@
     pub idle_slots: Rc<TransferSlots>,
 }
 
-/// A connection that is sent and not yet acknowledged.
-struct SentConnection {
+/// Counts the descriptors of a connection in transit until it is dropped.
+struct InTransit<'a> {
+    count: &'a Cell<usize>,
     descriptors: usize,
-    acknowledge: oneshot::Sender<bool>,
+}
+
+impl<'a> InTransit<'a> {
+    fn new(count: &'a Cell<usize>, descriptors: usize) -> Self {
+        count.set(count.get() + descriptors);
+        Self { count, descriptors }
+    }
+}
+
+impl Drop for InTransit<'_> {
+    fn drop(&mut self) {
+        self.count.set(self.count.get() - self.descriptors);
+    }
 }
 
 impl ConnectionSender {
@@ -40,6 +54,7 @@
         Rc::new(Self {
             link,
             unacknowledged: RefCell::default(),
+            descriptors_in_transit: Cell::new(0),
             next_number: Cell::new(0),
             closed: Cell::new(false),
             established_slots: TransferSlots::new(ESTABLISHED_SLOTS),
@@ -54,7 +69,8 @@
 
     /// Transfers a connection. Returns `true` if the successor has taken it over, else the connection stays with this
     /// process. Waits for the acknowledgement or the end of the link. The future must not be dropped before it
-    /// completes: the successor may take the connection over although this process still serves it.
+    /// completes: the successor may take the connection over although this process still serves it. A connection that
+    /// was taken over must release its permit before anything is awaited, as it is in transit no more.
     pub async fn transfer(
         &self,
         connection: TransferredConnection,
@@ -67,14 +83,11 @@
         if self.closed.get() {
             return false;
         }
-        // In transit from here on: a report of descriptors that follows on the link leaves the connection out.
+        // From here on a report of descriptors that follows on the link leaves the connection out.
+        let _in_transit = InTransit::new(&self.descriptors_in_transit, descriptors.len());
         let number = self.next_number.replace(self.next_number.get() + 1);
         let (acknowledge, acknowledged) = oneshot::channel();
-        let sent = SentConnection {
-            descriptors: descriptors.len(),
-            acknowledge,
-        };
-        self.unacknowledged.borrow_mut().insert(number, sent);
+        self.unacknowledged.borrow_mut().insert(number, acknowledge);
         let frame = Frame::Connection {
             number,
             payload: encoded,
@@ -87,18 +100,17 @@
         acknowledged.await.unwrap_or(false)
     }
 
-    /// The number of descriptors of the connections that are sent and not yet acknowledged. The successor counts these
+    /// The number of descriptors of the connections that are sent and still hold a permit here. The successor counts these
     /// descriptors as its own.
     pub fn descriptors_in_transit(&self) -> usize {
-        let unacknowledged = self.unacknowledged.borrow();
-        unacknowledged.values().map(|sent| sent.descriptors).sum()
+        self.descriptors_in_transit.get()
     }
 
     /// Handles the successor's acknowledgement of a connection. `taken_over` tells whether the successor has taken the
     /// connection over.
     pub fn acknowledge(&self, number: u64, taken_over: bool) {
-        if let Some(sent) = self.unacknowledged.borrow_mut().remove(&number) {
-            let _ = sent.acknowledge.send(taken_over);
+        if let Some(waiting) = self.unacknowledged.borrow_mut().remove(&number) {
+            let _ = waiting.send(taken_over);
         }
     }
 
--- a/tests/connection_sender.rs
+++ b/tests/connection_sender.rs
@@ -46,6 +46,9 @@
         assert_eq!(sender.descriptors_in_transit(), 3);
         sender.acknowledge(0, true);
         sender.acknowledge(1, false);
+        // Until its own task continues, a connection still holds its permit.
+        assert_eq!(sender.descriptors_in_transit(), 3);
+        run_tasks().await;
         assert_eq!(sender.descriptors_in_transit(), 1);
         sender.close();
         let [taken_over, refused, unacknowledged] = transfers;
--- a/tests/sockets/deployment.rs
+++ b/tests/sockets/deployment.rs
@@ -29,7 +29,8 @@
             .replace(LENIENT_MESSAGE_AIM.0, LENIENT_MESSAGE_AIM.1);
         Self {
             address,
-            listener: TcpListener::bind(address).expect("free"),
+            listener: TcpListener::bind(address)
+                .unwrap_or_else(|error| panic!("{address} is not free: {error}")),
             folder: Arc::new(folder),
             discovery: Discovery::new(),
             cached: backends
--- a/tests/sockets/main.rs
+++ b/tests/sockets/main.rs
@@ -4,6 +4,7 @@
 mod descriptors;
 mod endings;
 mod fleet;
+mod measure_replacement;
 mod peers;
 mod replace;
 mod request_ids;
