Stop accepting before the exit wherever the listening socket is inherited

Cause: whether the listening socket stays open after the exit was taken from whether a hot restart is possible. With an inherited socket and no $TMPDIR no hot restart is, and clients that arrive until the exit could still be cut off. Change: the configuration's descriptor number decides.

--- a/src/lifecycle/graceful_shutdown.rs
+++ b/src/lifecycle/graceful_shutdown.rs
@@ -34,8 +34,7 @@
         exit_within_s = schedule.latest_exit.as_secs_f64(),
         "graceful shutdown"
     );
-    let listener_is_shared = hot_restart.is_some();
-    let mut shutdown = GracefulShutdown::new(runtime, schedule, listener_is_shared);
+    let mut shutdown = GracefulShutdown::new(runtime, schedule);
     shutdown.finish_requests().await;
     shutdown.wait_for_clients_to_close().await;
     if shutdown.migrator.remaining() > 0 {
@@ -54,7 +53,7 @@
 }
 
 impl GracefulShutdown {
-    fn new(runtime: Rc<Runtime>, schedule: ShutdownSchedule, listener_is_shared: bool) -> Self {
+    fn new(runtime: Rc<Runtime>, schedule: ShutdownSchedule) -> Self {
         let now = runtime.now();
         let migrations = DrainSchedule {
             start: now + schedule.arrivals_end.as_secs_f64(),
@@ -63,7 +62,7 @@
         Self {
             start: Instant::now(),
             schedule,
-            listener_is_shared,
+            listener_is_shared: runtime.process_config().accept_fd.is_some(),
             migrator: Migrator::new(runtime.clone(), migrations),
             idle_ticks: 0,
             runtime,
