Tests: keep the first listener of a deployment instead of binding its port again

The port had been bound, closed and bound again. Inferred, not shown: a child that another test had forked, and that had not executed its program yet, still held the first listener. Change: the listener that found the port is kept. No check changes.

--- a/tests/sockets/deployment.rs
+++ b/tests/sockets/deployment.rs
@@ -22,15 +22,15 @@
 impl Deployment {
     /// A deployment with these cached endpoints and no process.
     pub fn new(backends: &[&Backend]) -> Self {
-        let [address, _] = free_ports();
+        let listener = listen_at_free_port();
+        let address = listener.local_addr().expect("bound");
         let mut folder = Folder::new(address);
         folder.settings = folder
             .settings
             .replace(LENIENT_MESSAGE_AIM.0, LENIENT_MESSAGE_AIM.1);
         Self {
             address,
-            listener: TcpListener::bind(address)
-                .unwrap_or_else(|error| panic!("{address} is not free: {error}")),
+            listener,
             folder: Arc::new(folder),
             discovery: Discovery::new(),
             cached: backends
--- a/tests/sockets/peers.rs
+++ b/tests/sockets/peers.rs
@@ -333,12 +333,23 @@
 /// Returns two addresses with ports that were free a moment ago. Each call uses another loopback IP address, so that no
 /// other test binds the ports.
 pub fn free_ports() -> [SocketAddr; 2] {
+    let address = unused_loopback_address();
+    let listeners = [(); 2].map(|()| TcpListener::bind(&address).expect("a port"));
+    listeners.map(|listener| listener.local_addr().expect("bound"))
+}
+
+/// Returns a listener at a free port. A port that is closed and bound again may still be held for a moment by a child
+/// process that another test has forked and that has not executed its program yet.
+pub fn listen_at_free_port() -> TcpListener {
+    TcpListener::bind(unused_loopback_address()).expect("a port")
+}
+
+/// Returns a loopback IP address that no other test uses, with port 0.
+fn unused_loopback_address() -> String {
     static NEXT_TEST: AtomicU8 = AtomicU8::new(1);
     let test = NEXT_TEST.fetch_add(1, Ordering::Relaxed);
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    let address = format!("127.{}.{high}.{low}:0", 64 + test);
-    let listeners = [(); 2].map(|()| TcpListener::bind(&address).expect("a port"));
-    listeners.map(|listener| listener.local_addr().expect("bound"))
+    format!("127.{}.{high}.{low}:0", 64 + test)
 }
 
 impl Drop for Folder {
