--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! Plays a case of the review: `play CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 //! not run.
 
+mod drain;
 mod kit;
 mod memory;
 
@@ -13,6 +14,7 @@
     let folder = std::path::Path::new(folder);
     kit::end_in_time();
     let play = match name.as_str() {
+        "drain" => drain::run,
         "memory" => memory::run,
         _ => std::process::exit(2),
     };
