--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! Plays a case of the review: `play CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could
 //! not run.
 
+mod control;
 mod cut;
 mod drain;
 mod kit;
@@ -15,6 +16,7 @@
     let folder = std::path::Path::new(folder);
     kit::end_in_time();
     let play = match name.as_str() {
+        "control" => control::run,
         "cut" => cut::run,
         "drain" => drain::run,
         "memory" => memory::run,
