--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod kit;
 mod memory;
+mod reopen;
 
 fn main() {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
@@ -19,6 +20,7 @@
         "control" => control::run,
         "cut" => cut::run,
         "drain" => drain::run,
+        "reopen" => reopen::run,
         "memory" => memory::run,
         _ => std::process::exit(2),
     };
