Review case 8: cut off the instance that keeps the list duty, not a passing holder

Change: the script waits until the same instance alone has asked discovery for 7 s, longer than the duty's period of 4 s.

--- a/review/standins-2/cut.rs
+++ b/review/standins-2/cut.rs
@@ -55,16 +55,22 @@
         record.line("the balancers are not ready");
         return 2;
     }
-    // The holder is the one that still asks discovery.
-    let mut holder = None;
+    // The holder is the only one that still asks discovery, for longer than a period of the duty: the first holder may
+    // hand the duty over to another instance.
+    let (mut holder, mut candidate) = (None, None);
     for _ in 0..10 {
         let before: Vec<usize> = views.iter().map(|view| view.calls.load(SeqCst)).collect();
         pause(3.5);
         let asking: Vec<usize> = (0..INSTANCES).filter(|n| views[*n].calls.load(SeqCst) > before[*n]).collect();
-        if let [one] = asking[..] {
-            holder = Some(one);
+        let only = match asking[..] {
+            [one] => Some(one),
+            _ => None,
+        };
+        if only.is_some() && only == candidate {
+            holder = only;
             break;
         }
+        candidate = only;
     }
     let Some(holder) = holder else {
         record.line("no single instance watches discovery");
